--- /dev/null
+++ b/fuchsiafork/__init__.py
@@ -0,0 +1,1 @@
+"""Router fleet that keeps client accounts inside prepaid token budgets."""
--- /dev/null
+++ b/fuchsiafork/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters at the edge, one module for each outside interface."""
--- /dev/null
+++ b/fuchsiafork/kernel/context.py
@@ -0,0 +1,42 @@
+"""What every system is given: identity, time, chance and effects."""
+
+import dataclasses
+import random
+
+from fuchsiafork.kernel.clock import Clock
+from fuchsiafork.kernel.events import EventRing
+from fuchsiafork.kernel.invariants import Invariants
+from fuchsiafork.kernel.outbox import Outbox
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """
+    Who a process is.
+
+    :ivar node: id of the process, ``<vm>/<process>``.
+    :ivar domain: failure domain of its VM.
+    :ivar incarnation: a new string for each start of the process.
+    """
+
+    node: str
+    domain: str
+    vm: str
+    incarnation: str
+
+    @property
+    def holder(self) -> str:
+        """Id under which this start of the process holds money."""
+        return f'{self.node}#{self.incarnation}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """The surroundings of a system."""
+
+    identity: Identity
+    clock: Clock
+    random: random.Random
+    outbox: Outbox
+    events: EventRing
+    invariants: Invariants
--- /dev/null
+++ b/fuchsiafork/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the system's own processes."""
--- /dev/null
+++ b/fuchsiafork/membership/__init__.py
@@ -0,0 +1,6 @@
+"""Which processes are live, and which of them is home to what."""
+
+from fuchsiafork.membership.homes import HOME, home_key
+from fuchsiafork.membership.system import Member, MembershipSystem
+
+__all__ = ('HOME', 'Member', 'MembershipSystem', 'home_key')
--- /dev/null
+++ b/fuchsiafork/membership/system.py
@@ -0,0 +1,235 @@
+"""Heartbeats between the keepers and the view that follows from them."""
+
+import dataclasses
+import functools
+from typing import Any
+
+from fuchsiafork import messages
+from fuchsiafork.kernel import Context, System, rank
+from fuchsiafork.membership.homes import home_key
+
+HEARTBEAT_INTERVAL_S = 0.5
+# Four heartbeats; a shorter time takes a busy process for a dead one.
+SILENCE_LIMIT_S = 2.0
+GATEWAYS_PER_DOMAIN = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """
+    A keeper as this one sees it.
+
+    :ivar last_heard: local clock time of its last heartbeat, seconds.
+    """
+
+    node: str
+    domain: str
+    incarnation: str
+    address: str
+    revision: int
+    leaving: bool
+    routers: tuple[str, ...]
+    last_heard: float
+    verdicts: int = 0
+
+    @property
+    def vm(self) -> str:
+        """The VM it runs on."""
+        return self.node.partition('/')[0]
+
+
+class MembershipSystem(System):
+    """Keeps the table of keepers and routers."""
+
+    accepts = (messages.Heartbeat, messages.HeartbeatAck, messages.Goodbye)
+
+    def __init__(self, context: Context, address: str) -> None:
+        """Start alone; ``address`` is where this keeper accepts links."""
+        super().__init__(context)
+        self.members: dict[str, Member] = {}
+        self.local_routers: set[str] = set()
+        self.revision = 0
+        self.verdicts = 0
+        self.leaving = False
+        self._address = address
+        self._next_heartbeat = 0.0
+
+    @functools.singledispatchmethod
+    def handle(self, message: Any, sender: str) -> None:
+        """Take one message."""
+
+    @handle.register
+    def _(self, message: messages.Heartbeat, sender: str) -> None:
+        known = self.members.get(message.node)
+        if known is None or known.incarnation != message.incarnation:
+            self._context.events.record(
+                'member_joined',
+                member=message.node,
+                member_domain=message.domain,
+            )
+        self.members[message.node] = Member(
+            node=message.node,
+            domain=message.domain,
+            incarnation=message.incarnation,
+            address=message.address,
+            revision=message.revision,
+            leaving=message.leaving,
+            routers=message.routers,
+            last_heard=self._context.clock.now(),
+            verdicts=message.verdicts,
+        )
+        self._context.outbox.send(
+            message.node,
+            messages.HeartbeatAck(self._context.identity.node, message.stamp),
+        )
+
+    @handle.register
+    def _(self, message: messages.Goodbye, sender: str) -> None:
+        member = self.members.get(message.node)
+        if member is not None and member.incarnation == message.incarnation:
+            self.members.pop(message.node)
+            self._context.events.record('member_left', member=message.node)
+
+    def tick(self) -> None:
+        """Send heartbeats that are due and drop members long silent."""
+        now = self._context.clock.now()
+        if now < self._next_heartbeat:
+            return
+        self._next_heartbeat = now + HEARTBEAT_INTERVAL_S
+        beat = self._heartbeat(now)
+        for node in self._heartbeat_targets():
+            self._context.outbox.send(node, beat)
+
+    def live(self, domain: str = '') -> list[str]:
+        """
+        Return the live keepers of a domain (of this one by default).
+
+        A leaving keeper still counts as live: it answers until it is gone.
+        """
+        identity = self._context.identity
+        wanted = domain or identity.domain
+        horizon = self._context.clock.now() - SILENCE_LIMIT_S
+        nodes = [
+            member.node
+            for member in self.members.values()
+            if member.domain == wanted and member.last_heard >= horizon
+        ]
+        if wanted == identity.domain:
+            nodes.append(identity.node)
+        return nodes
+
+    def homes(self, key: str, domain: str = '') -> list[str]:
+        """Return the keepers that take a key, best first."""
+        steady = [node for node in self.live(domain) if self._stays(node)]
+        return rank(key, steady or self.live(domain))
+
+    def home_of(self, message: Any) -> str:
+        """
+        Return the keeper that takes a message without a named node.
+
+        Empty if none is live.
+        """
+        return _pick_home(message, self)
+
+    def domains(self) -> list[str]:
+        """Return this failure domain and the others that are reachable."""
+        identity = self._context.identity
+        found = {member.domain for member in self.members.values()}
+        reachable = {name for name in found if self.live(name)}
+        return sorted(reachable | {identity.domain})
+
+    def next_hop(self, destination: str) -> str:
+        """
+        Return the node to which a message for a destination is sent.
+
+        Empty if no way to the destination is known.
+        """
+        if destination in self.local_routers or destination in self.members:
+            return destination
+        for member in self.members.values():
+            if destination in member.routers:
+                return member.node
+        return ''
+
+    def _stays(self, node: str) -> bool:
+        """Return whether a node is not shutting down."""
+        if node == self._context.identity.node:
+            return not self.leaving
+        return not self.members[node].leaving
+
+    def _heartbeat(self, now: float) -> messages.Heartbeat:
+        """Return this keeper's heartbeat."""
+        identity = self._context.identity
+        return messages.Heartbeat(
+            node=identity.node,
+            domain=identity.domain,
+            incarnation=identity.incarnation,
+            revision=self.revision,
+            leaving=self.leaving,
+            verdicts=self.verdicts,
+            routers=tuple(sorted(self.local_routers)),
+            address=self._address,
+            stamp=now,
+        )
+
+    def _heartbeat_targets(self) -> list[str]:
+        """Return the members to which heartbeats go."""
+        own = self._context.identity.domain
+        same = [
+            member.node
+            for member in self.members.values()
+            if member.domain == own
+        ]
+        others = {member.domain for member in self.members.values()} - {own}
+        for domain in sorted(others):
+            nodes = [
+                member.node
+                for member in self.members.values()
+                if member.domain == domain
+            ]
+            gateways = rank(self._context.identity.node, nodes)
+            same.extend(gateways[:GATEWAYS_PER_DOMAIN])
+        return same
+
+
+@functools.singledispatch
+def _pick_home(message: Any, membership: MembershipSystem) -> str:
+    """Return the first-ranked keeper of this failure domain."""
+    return _first(membership.homes(home_key(message)))
+
+
+@_pick_home.register
+def _(message: messages.Reserve, membership: MembershipSystem) -> str:
+    """
+    Return the first-ranked holder that is not on the router's own VM.
+
+    The record of a reservation then lies on two VMs.
+    """
+    homes = membership.homes(home_key(message))
+    prefix = f'{message.exclude_vm}/'
+    others = [node for node in homes if not node.startswith(prefix)]
+    return _first(others or homes)
+
+
+@_pick_home.register(messages.BindKey)
+@_pick_home.register(messages.RecordOutcome)
+def _(message: Any, membership: MembershipSystem) -> str:
+    """Return the key's home in its first-ranked reachable domain."""
+    key = home_key(message)
+    domain = rank(key, membership.domains())[0]
+    return _first(membership.homes(key, domain))
+
+
+@_pick_home.register(messages.StartUse)
+@_pick_home.register(messages.Settle)
+def _(message: Any, membership: MembershipSystem) -> str:
+    """Return the holder, or the keeper that closes it out."""
+    node = message.holder.partition('#')[0]
+    if node in membership.live():
+        return node
+    return _first(membership.homes(home_key(message)))
+
+
+def _first(nodes: list[str]) -> str:
+    """Return the first node, or an empty string."""
+    return nodes[0] if nodes else ''
--- /dev/null
+++ b/fuchsiafork/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, health and events."""
--- /dev/null
+++ b/fuchsiafork/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the processes."""
--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ``python -m measurements <name> --seed N``."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, for tests, measurements and the demo."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test suite of fuchsiafork."""
