--- a/fuchsiafork/configuration/parsing.py
+++ b/fuchsiafork/configuration/parsing.py
@@ -74,7 +74,7 @@
     except configparser.Error as error:
         raise ConfigurationError(f'{file}: {error}') from None
     tables: dict[str, Any] = {}
-    problems = []
+    problems: list[Problem] = []
     for title in parser.sections():
         kind, _, name = title.partition(':')
         if kind in _TABLES and name:
@@ -98,7 +98,7 @@
 def _check_references(document: Document, file: str) -> list[Problem]:
     """Return the names that no section defines."""
     kinds = {table: kind for kind, table in _TABLES.items()}
-    problems = []
+    problems: list[Problem] = []
     for table, field, other in _REFERENCES:
         known = getattr(document, other)
         for name, section in getattr(document, table).items():
