Add links, the keeper's runtime and the router's relay

Cause: the pure nodes need real links, store calls and target calls. Change: websocket links with a shared secret and bounded queues; runtime of the keeper; bridge, driver and relay of the router, one connection a call. Conclusion: programs can be composed from these parts.

--- /dev/null
+++ b/fuchsiafork/links/hub.py
@@ -0,0 +1,175 @@
+"""Table of open links and the frames that go over them."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hmac
+from collections.abc import Callable
+
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from fuchsiafork.kernel import HybridClock, Identity
+from fuchsiafork.kernel.errors import (
+    FuchsiaforkError,
+    MessageFormatError,
+    UnauthorizedError,
+)
+from fuchsiafork.messages import Envelope, Hello, decode, encode
+
+SEND_QUEUE_FRAMES = 1024
+HELLO_TIMEOUT_S = 5.0
+MAX_FRAME_BYTES = 4 << 20
+
+
+@dataclasses.dataclass(slots=True)
+class PeerLink:
+    """
+    An open link.
+
+    :ivar hello: what the other side said of itself.
+    :ivar queue: frames that wait to be sent.
+    """
+
+    hello: Hello
+    connection: Connection
+    queue: asyncio.Queue[bytes]
+
+
+@dataclasses.dataclass(slots=True)
+class LinkCounters:
+    """Frames and bytes of all links, and what was dropped."""
+
+    frames_in: int = 0
+    frames_out: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+    dropped: int = 0
+    invalid: int = 0
+
+
+class LinkHub:
+    """Runs links that either side has opened."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        hello: Hello,
+        clock: HybridClock,
+        receive: Callable[[Envelope], None],
+    ) -> None:
+        """Introduce this process by ``hello``; hand frames to ``receive``."""
+        self.links: dict[str, PeerLink] = {}
+        self.counters = LinkCounters()
+        self.changed: Callable[[], None] = lambda: None
+        self._identity = identity
+        self._hello = hello
+        self._clock = clock
+        self._receive = receive
+
+    def send(self, hop: str, destination: str, message: object) -> None:
+        """Queue a message of this process on the link to a node."""
+        self.forward(hop, destination, message, self._identity.node)
+
+    def forward(
+        self,
+        hop: str,
+        destination: str,
+        message: object,
+        sender: str,
+    ) -> None:
+        """Queue a message, which another process may have made."""
+        link = self.links.get(hop)
+        if link is None:
+            self.counters.dropped += 1
+            return
+        frame = encode(sender, destination, self._clock.tick(), message)
+        try:
+            link.queue.put_nowait(frame)
+        except asyncio.QueueFull:
+            # A peer that reads too slowly is treated as lost; the link is
+            # opened again, and repeated messages make up for the loss.
+            self.counters.dropped += 1
+            self._drop(link)
+
+    async def run(self, connection: Connection) -> None:
+        """Serve one connection until it closes."""
+        await self._introduce(connection)
+        peer = await self._expect_hello(connection)
+        queue: asyncio.Queue[bytes] = asyncio.Queue(SEND_QUEUE_FRAMES)
+        link = PeerLink(peer, connection, queue)
+        self.links[peer.node] = link
+        self.changed()
+        sender = asyncio.create_task(self._send_frames(link))
+        try:
+            await self._read_frames(link)
+        finally:
+            sender.cancel()
+            self._forget(link)
+
+    def _forget(self, link: PeerLink) -> None:
+        """Remove a link unless a newer one to the same node replaced it."""
+        if self.links.get(link.hello.node) is link:
+            self.links.pop(link.hello.node)
+        self.changed()
+
+    def _drop(self, link: PeerLink) -> None:
+        """Close a link without waiting for its other side."""
+        self._forget(link)
+        transport = link.connection.transport
+        transport.abort()
+
+    async def _introduce(self, connection: Connection) -> None:
+        """Send this side's hello."""
+        stamp = self._clock.tick()
+        frame = encode(self._identity.node, '', stamp, self._hello)
+        await connection.send(frame)
+
+    async def _expect_hello(self, connection: Connection) -> Hello:
+        """
+        Return the other side's hello.
+
+        :raises UnauthorizedError: if it doesn't know the fleet's secret.
+        """
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            frame = await connection.recv(decode=False)
+        envelope = decode(frame)
+        hello = envelope.message
+        if not isinstance(hello, Hello):
+            raise MessageFormatError(f'expected Hello, got {envelope.kind!r}')
+        ours, theirs = self._hello.token.encode(), hello.token.encode()
+        if not hmac.compare_digest(ours, theirs):
+            raise UnauthorizedError(f'wrong link token from {hello.node!r}')
+        self._clock.merge(envelope.stamp)
+        return hello
+
+    async def _send_frames(self, link: PeerLink) -> None:
+        """Send queued frames until the link closes."""
+        with contextlib.suppress(ConnectionClosed):
+            while True:
+                frame = await link.queue.get()
+                await link.connection.send(frame)
+                self.counters.frames_out += 1
+                self.counters.bytes_out += len(frame)
+
+    async def _read_frames(self, link: PeerLink) -> None:
+        """Hand over frames until the link closes."""
+        with contextlib.suppress(ConnectionClosed):
+            while True:
+                frame = await link.connection.recv(decode=False)
+                self.counters.frames_in += 1
+                self.counters.bytes_in += len(frame)
+                self._take(frame)
+
+    def _take(self, frame: bytes) -> None:
+        """Decode a frame and hand it over; an invalid one is dropped."""
+        try:
+            envelope = decode(frame)
+        except FuchsiaforkError:
+            self.counters.invalid += 1
+            return
+        self._clock.merge(envelope.stamp)
+        if envelope.message is None:
+            self.counters.invalid += 1
+        else:
+            self._receive(envelope)
--- /dev/null
+++ b/fuchsiafork/router/bridge.py
@@ -0,0 +1,110 @@
+"""Connects the router's worker threads with its keeper."""
+
+import asyncio
+import concurrent.futures
+import random
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from fuchsiafork import messages
+from fuchsiafork.kernel import Context, HybridClock
+from fuchsiafork.links import Dialer, LinkHub
+from fuchsiafork.router.node import RouterNode
+
+TICK_INTERVAL_S = 0.1
+
+
+class Bridge:
+    """Runs the router's node in an event loop in a thread of its own."""
+
+    def __init__(
+        self,
+        context: Context,
+        node: RouterNode,
+        clock: HybridClock,
+        hello: messages.Hello,
+        keepers: tuple[str, ...],
+    ) -> None:
+        """Keep links to keepers' addresses, the own VM's first."""
+        self.node = node
+        self.hub = LinkHub(context.identity, hello, clock, self._receive)
+        self._context = context
+        self._keepers = keepers
+        self._loop = asyncio.new_event_loop()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start the event loop."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the links and end the event loop."""
+        self._stopping = True
+        self._thread.join(timeout=2)
+
+    def ask(self, message: Any, destination: str, timeout_s: float) -> Any:
+        """Return the reply to a message, or None after the time-out."""
+        waiter: concurrent.futures.Future[Any] = concurrent.futures.Future()
+        self.call(
+            lambda: self.node.ask(message, destination, waiter.set_result),
+        )
+        try:
+            return waiter.result(timeout_s)
+        except (TimeoutError, concurrent.futures.CancelledError):
+            self.call(lambda: self.node.forget(message))
+            return None
+
+    def tell(self, message: Any, destination: str) -> None:
+        """Send a message without waiting."""
+        self.call(lambda: self._context.outbox.send(destination, message))
+
+    def call(self, action: Callable[[], Any]) -> None:
+        """Run an action on the node in its event loop, then send."""
+        self._loop.call_soon_threadsafe(self._act, action)
+
+    def _act(self, action: Callable[[], Any]) -> None:
+        """Run an action and send what it queued."""
+        action()
+        self._flush()
+
+    def _run(self) -> None:
+        """Tick until stopped."""
+        self._loop.run_until_complete(self._serve())
+
+    async def _serve(self) -> None:
+        """Open the links and tick."""
+        seed = self._context.random.getrandbits(64)
+        dialer = Dialer(self.hub, random.Random(seed))
+        for address in self._keepers:
+            dialer.want(address)
+        while not self._stopping:
+            self.node.tick()
+            self._flush()
+            await asyncio.sleep(TICK_INTERVAL_S)
+        dialer.stop()
+
+    def _receive(self, envelope: messages.Envelope) -> None:
+        """Take a message from a keeper."""
+        self.node.receive(
+            envelope.message,
+            envelope.sender,
+            envelope.destination,
+        )
+        self._flush()
+
+    def _flush(self) -> None:
+        """Send queued messages through the first keeper that is linked."""
+        sends, _ = self._context.outbox.drain()
+        hop = self._first_keeper()
+        for send in sends:
+            if hop:
+                self.hub.send(hop, send.destination, send.message)
+
+    def _first_keeper(self) -> str:
+        """Return the linked keeper, the own VM's if it is there."""
+        own = f'{self._context.identity.vm}/keeper'
+        if own in self.hub.links:
+            return own
+        return min(self.hub.links, default='')
--- /dev/null
+++ b/fuchsiafork/router/driver.py
@@ -0,0 +1,163 @@
+"""Runs the generator of one request in a worker thread."""
+
+import functools
+import time
+from typing import Any, Protocol
+
+from fuchsiafork.adapters.engine import EngineClient
+from fuchsiafork.adapters.target_call import (
+    BrokenCallError,
+    ConnectError,
+    TargetCall,
+)
+from fuchsiafork.kernel import Clock, FuchsiaforkError
+from fuchsiafork.router import machine_types as commands
+from fuchsiafork.router.caller import Caller
+from fuchsiafork.router.machine import serve_request
+from fuchsiafork.router.relay import Relay
+
+
+class Correspondent(Protocol):
+    """Exchanges messages with the keepers."""
+
+    def ask(self, message: Any, destination: str, timeout_s: float) -> Any:
+        """Return the reply to a message, or None after the time-out."""
+
+    def tell(self, message: Any, destination: str) -> None:
+        """Send a message without waiting."""
+
+    def tell_until(
+        self,
+        message: Any,
+        destination: str,
+        acknowledged_by: type,
+    ) -> None:
+        """Send a message again and again until it is acknowledged."""
+
+
+class Driver:
+    """Carries out the commands of one request, blocking."""
+
+    def __init__(
+        self,
+        correspondent: Correspondent,
+        engines: EngineClient,
+        caller: Caller,
+        clock: Clock,
+    ) -> None:
+        """Serve one caller."""
+        self._correspondent = correspondent
+        self._engines = engines
+        self._caller = caller
+        self._clock = clock
+        self._call: TargetCall | None = None
+        self._called_at = 0.0
+
+    def run(
+        self,
+        request: commands.Request,
+        services: commands.Services,
+    ) -> commands.Answer:
+        """Return the answer to a request.
+
+        :raises FuchsiaforkError: if it is refused or fails.
+        """
+        steps = serve_request(request, services)
+        try:
+            command = next(steps)
+            while True:
+                command = steps.send(self._execute(command))
+        except StopIteration as end:
+            return end.value
+        finally:
+            self._close_call()
+
+    @functools.singledispatchmethod
+    def _execute(self, command: Any) -> Any:
+        """Return the reply to a command."""
+        raise FuchsiaforkError(f'unknown command {command!r}')
+
+    @_execute.register
+    def _(self, command: commands.Ask) -> Any:
+        return self._correspondent.ask(
+            command.message,
+            command.destination,
+            command.timeout_s,
+        )
+
+    @_execute.register
+    def _(self, command: commands.Tell) -> None:
+        if command.acknowledged_by is None:
+            self._correspondent.tell(command.message, command.destination)
+        else:
+            self._correspondent.tell_until(
+                command.message,
+                command.destination,
+                command.acknowledged_by,
+            )
+
+    @_execute.register
+    def _(self, command: commands.Sleep) -> None:
+        time.sleep(command.seconds)
+
+    @_execute.register
+    def _(self, command: commands.DropAnswer) -> None:
+        self._close_call()
+
+    @_execute.register
+    def _(self, command: commands.ReadRecord) -> commands.TargetRecord | None:
+        try:
+            record = self._engines.record(command.url, command.request_id)
+        except FuchsiaforkError:
+            return None
+        return commands.TargetRecord(
+            found=record.state != 'unknown',
+            tokens=record.tokens,
+        )
+
+    @_execute.register
+    def _(self, command: commands.CallTarget) -> Any:
+        self._close_call()
+        call = TargetCall(command.url)
+        try:
+            call.connect()
+        except ConnectError as error:
+            return commands.ConnectFailed(str(error))
+        self._call = call
+        self._called_at = self._clock.now()
+        try:
+            call.send(
+                command.method,
+                command.path,
+                command.headers,
+                command.body,
+                self._remaining(command.deadline),
+            )
+        except BrokenCallError as error:
+            return commands.TargetBroken(str(error))
+        return commands.TargetHead(call.status, call.headers)
+
+    @_execute.register
+    def _(self, command: commands.RelayStream) -> commands.Relayed:
+        if self._call is None:
+            raise FuchsiaforkError('no open call to relay')
+        relay = Relay(
+            self._call,
+            self._caller,
+            self._clock,
+            command,
+            self._called_at,
+        )
+        relayed = relay.run()
+        self._close_call()
+        return relayed
+
+    def _remaining(self, deadline: float) -> float:
+        """Return the seconds left to a deadline."""
+        return max(0.0, deadline - self._clock.now())
+
+    def _close_call(self) -> None:
+        """Close the connection to the target."""
+        if self._call is not None:
+            self._call.close()
+            self._call = None
