--- a/fuchsiafork/messages/outcomes.py
+++ b/fuchsiafork/messages/outcomes.py
@@ -14,12 +14,14 @@
     :ivar key: digest of account and Idempotency-Key.
     :ivar fingerprint: digest of method, path and body.
     :ivar idempotent: whether the call may be repeated.
+    :ivar deadline_s: seconds from now after which the request has ended.
     """
 
     request_id: str
     key: str
     fingerprint: str
     idempotent: bool
+    deadline_s: float
 
 
 @message
--- /dev/null
+++ b/fuchsiafork/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router: callers' HTTP, the request pipeline and the relay."""
--- /dev/null
+++ b/fuchsiafork/router/machine_body.py
@@ -0,0 +1,40 @@
+"""The request as it is sent to a target."""
+
+import json
+
+from fuchsiafork.kernel.errors import BadRequestError
+from fuchsiafork.router.machine_types import Request, Services
+
+REQUEST_ID = 'X-Request-Id'
+_DEADLINE = 'X-Request-Deadline'
+
+
+def target_body(request: Request) -> bytes:
+    """
+    Return the body with the output limit that was reserved.
+
+    :raises BadRequestError: if an engine's body is not a JSON object.
+    """
+    if not request.engine:
+        return request.body
+    try:
+        document = json.loads(request.body)
+    except ValueError:
+        raise BadRequestError('the body is not JSON') from None
+    if not isinstance(document, dict):
+        raise BadRequestError('the body is not a JSON object')
+    document['max_tokens'] = request.output_limit
+    return json.dumps(document).encode()
+
+
+def target_headers(
+    request: Request,
+    services: Services,
+    call_id: str,
+) -> dict[str, str]:
+    """Return the headers for the target, with id and time left."""
+    remaining = request.deadline - services.clock.now()
+    return request.headers | {
+        REQUEST_ID: call_id,
+        _DEADLINE: f'{services.clock.wall() + remaining:.3f}',
+    }
--- /dev/null
+++ b/fuchsiafork/router/machine_state.py
@@ -0,0 +1,94 @@
+"""What one request holds while it runs, and the errors it ends with."""
+
+import dataclasses
+
+from fuchsiafork import messages
+from fuchsiafork.kernel import CODES, FuchsiaforkError
+from fuchsiafork.kernel.errors import (
+    DeadlineError,
+    KeeperUnavailableError,
+    OutcomeUnknownError,
+    TargetFailedError,
+)
+from fuchsiafork.router.machine_types import Relayed, Request, Services
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """
+    The state of one request.
+
+    :ivar reservation: the reservation that is held, if any.
+    :ivar valid_until: time by which the first byte must go out.
+    :ivar slot: the slot that is held, if any.
+    :ivar slot_until: time after which the slot's grant is too old.
+    :ivar sent: a byte of the request may have reached a target.
+    :ivar last_used: slot of the last target that the request was sent to.
+    :ivar relayed: what was seen of the last stream.
+    :ivar excluded: targets that this request failed on.
+    """
+
+    request: Request
+    services: Services
+    bound: bool = False
+    reservation: messages.Reserved | None = None
+    reservations: int = 0
+    valid_until: float = 0
+    slot: messages.SlotAcquired | None = None
+    slots: int = 0
+    slot_until: float = 0
+    group: str = ''
+    sent: bool = False
+    last_used: messages.SlotAcquired | None = None
+    relayed: Relayed | None = None
+    excluded: tuple[str, ...] = ()
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds to the request's deadline."""
+        return self.request.deadline - self.services.clock.now()
+
+    @property
+    def reached_caller(self) -> bool:
+        """Whether any byte of an answer was sent to the caller."""
+        return self.relayed is not None and self.relayed.reached_caller
+
+    @property
+    def settle_key(self) -> str:
+        """The key under which the request is billed."""
+        return self.request.key or self.request.request_id
+
+
+def refusal(code: int, retry_after_s: float) -> FuchsiaforkError:
+    """Return the error of a refusal that came as a message."""
+    kind = CODES.get(code, KeeperUnavailableError)
+    return kind(
+        f'refused with code {code}',
+        retry_after=retry_after_s or None,
+    )
+
+
+def true_error(run: Run, error: FuchsiaforkError) -> FuchsiaforkError:
+    """
+    Return an error whose run state holds for the whole request.
+
+    A refusal of a later attempt says ``not_run``, which is untrue if an
+    earlier attempt was sent.
+    """
+    if not run.sent or isinstance(error, OutcomeUnknownError):
+        return error
+    if not run.request.idempotent:
+        return OutcomeUnknownError(str(error))
+    if error.run_state == 'not_run':
+        return TargetFailedError(str(error), retry_after=error.retry_after)
+    return error
+
+
+def require_time(run: Run) -> None:
+    """
+    Return if the deadline has not passed.
+
+    :raises DeadlineError: if it has.
+    """
+    if run.remaining_s <= 0:
+        raise DeadlineError('the deadline has passed', retry_after=1)
--- /dev/null
+++ b/fuchsiafork/router/machine_types.py
@@ -0,0 +1,257 @@
+"""Requests, commands and replies of the life of one request."""
+
+import dataclasses
+import random
+from typing import Any
+
+from fuchsiafork.kernel import Clock, EventRing
+from fuchsiafork.membership import HOME
+from fuchsiafork.router.retries import RetryBudget
+
+# Answers up to this size are kept for replays.
+REPLAY_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Services:
+    """
+    What a request is served with.
+
+    :ivar vm: VM of the router, whose keeper should not hold reservations.
+    """
+
+    vm: str
+    clock: Clock
+    random: random.Random
+    events: EventRing
+    retries: RetryBudget
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """
+    An authenticated request within its bounds.
+
+    :ivar groups: target groups that may serve it; the first is of the own
+        failure domain, the others are asked as foreign.
+    :ivar engine: whether the target is an engine that takes ``max_tokens``.
+    :ivar key: digest of account and Idempotency-Key, empty without one.
+    :ivar fingerprint: digest of method, path and body.
+    :ivar prompt_tokens: upper bound of the prompt's tokens.
+    :ivar output_limit: bound of the answer's tokens, 0 for services.
+    :ivar flat_tokens: price of a service call, 0 for engines.
+    :ivar deadline: time on ``Clock.now()`` by which the answer must end.
+    """
+
+    request_id: str
+    account: str
+    budget: str
+    route: str
+    groups: tuple[str, ...]
+    priority: int
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    engine: bool
+    idempotent: bool
+    key: str
+    fingerprint: str
+    prompt_tokens: int
+    output_limit: int
+    flat_tokens: int
+    deadline: float
+    prefixes: tuple[int, ...] = ()
+
+    @property
+    def worst_case(self) -> int:
+        """Tokens to reserve."""
+        return self.prompt_tokens + self.output_limit + self.flat_tokens
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """
+    How a request ended that was answered.
+
+    :ivar relayed: the answer has been sent to the caller by `RelayStream`;
+        otherwise the driver sends ``status``, ``content_type``, ``body``.
+    :ivar first_request_id: request whose recorded answer is replayed, or
+        the request's own id.
+    """
+
+    request_id: str
+    first_request_id: str
+    status: int
+    content_type: str
+    body: bytes
+    version: str
+    tokens: int
+    relayed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """
+    Send a message and wait for its reply.
+
+    The reply is a message of one of the ``expects`` types with the same
+    ``request_id``, or None after ``timeout_s`` or when no keeper is linked.
+    """
+
+    message: Any
+    expects: tuple[type, ...]
+    timeout_s: float
+    destination: str = HOME
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tell:
+    """
+    Send a message without waiting; the reply is None.
+
+    :ivar acknowledged_by: type of the message that ends the repetition. The
+        driver repeats the message, also after the request has ended, until
+        one with the same ``request_id`` arrives; a ``SettleAccepted`` counts
+        only when it is durable. None for a message that is sent once.
+    """
+
+    message: Any
+    destination: str = HOME
+    acknowledged_by: type | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallTarget:
+    """
+    Open a request on a fresh or pooled connection and read the head.
+
+    The driver never repeats it by itself. The reply is `ConnectFailed` only
+    if no byte of the request went out, `TargetHead`, or `TargetBroken`.
+
+    :ivar deadline: time on ``Clock.now()`` at which the driver gives up and
+        closes the connection.
+    """
+
+    target: str
+    url: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectFailed:
+    """No byte of the request was sent."""
+
+    reason: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetBroken:
+    """The connection broke, or time ran out, after the first byte."""
+
+    reason: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetHead:
+    """
+    Status and headers of the target's answer.
+
+    :ivar headers: names in lower case, ``x-request-id`` among them.
+    """
+
+    status: int
+    headers: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropAnswer:
+    """Close the connection of the last `CallTarget`; the reply is None."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayStream:
+    """
+    Relay the open answer to the caller; the reply is `Relayed`.
+
+    :ivar headers: headers for the caller.
+    :ivar token_limit: tokens after which the stream is cut, 0 for services.
+    :ivar keep_bytes: size up to which the body is returned in the reply.
+    :ivar drain: read the answer to its end even if the caller is gone.
+    :ivar deadline: time on ``Clock.now()`` at which the stream is closed.
+    """
+
+    status: int
+    headers: dict[str, str]
+    prompt_tokens: int
+    token_limit: int
+    keep_bytes: int
+    drain: bool
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relayed:
+    """
+    What was seen of a stream.
+
+    :ivar tokens: prompt and output tokens counted from the stream.
+    :ivar complete: the target ended its answer by its own rules.
+    :ivar cut: the stream was cut at the token limit.
+    :ivar reached_caller: any byte of the answer was sent to the caller.
+    :ivar caller_gone: the caller closed, or read nothing for too long.
+    :ivar body: the answer if it is complete and within ``keep_bytes``.
+    :ivar replayable: whether ``body`` is the whole answer.
+    """
+
+    tokens: int
+    complete: bool
+    cut: bool
+    reached_caller: bool
+    caller_gone: bool
+    body: bytes
+    replayable: bool
+    first_token_s: float = -1
+    token_gap_s: float = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """
+    Read ``GET /v1/requests/<id>`` of a target.
+
+    The reply is `TargetRecord`, or None if the target gives no answer.
+    """
+
+    target: str
+    url: str
+    request_id: str
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetRecord:
+    """
+    What a target knows of a request.
+
+    :ivar found: whether the target was ever given the request.
+    """
+
+    found: bool
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sleep:
+    """Wait; the reply is None."""
+
+    seconds: float
+
+
+Command = (
+    Ask | Tell | CallTarget | DropAnswer | RelayStream | ReadRecord | Sleep
+)
--- /dev/null
+++ b/fuchsiafork/router/retries.py
@@ -0,0 +1,44 @@
+"""How often and how soon a router sends a failed request again."""
+
+import random
+import threading
+
+RETRY_SHARE = 0.1
+MIN_TOKENS = 10.0
+MAX_TOKENS = 100.0
+MAX_ATTEMPTS = 3
+_BASE_S = 0.05
+_CAP_S = 1.0
+
+
+class RetryBudget:
+    """
+    Token bucket that earns a share of a token with each request.
+
+    It bounds retries to 10% of requests, so that retries do not multiply the
+    load of targets that are failing. Worker threads share one budget.
+    """
+
+    def __init__(self, share: float = RETRY_SHARE) -> None:
+        """Start with the tokens of a quiet router."""
+        self._share = share
+        self._tokens = MIN_TOKENS
+        self._lock = threading.Lock()
+
+    def earn(self) -> None:
+        """Count one first attempt."""
+        with self._lock:
+            self._tokens = min(MAX_TOKENS, self._tokens + self._share)
+
+    def spend(self) -> bool:
+        """Return whether one retry may be made, and count it."""
+        with self._lock:
+            if self._tokens < 1:
+                return False
+            self._tokens -= 1
+        return True
+
+
+def backoff_s(attempt: int, chance: random.Random) -> float:
+    """Return the wait before a retry, with full jitter, in seconds."""
+    return chance.uniform(0, min(_CAP_S, _BASE_S * 2**attempt))
