Add the key-value adapter, its stand-in, settings and logs

The keeper and router programs need a blocking client of the key-value service, settings models and one log form.

StoreClient speaks the JSON gateway form of the etcd v3 API. A failure before anything was sent, or an answer below 500, leaves a write without effect; any other failure makes its outcome unknown. The stand-in counts calls, limits rates and values, and can be down, slow or lose answers of writes that took effect.

--- /dev/null
+++ b/fuchsiafork/observability/logs.py
@@ -0,0 +1,49 @@
+"""Logs of every program: one key=value line for each event."""
+
+import logging
+from collections.abc import MutableMapping
+from typing import Any
+
+import structlog
+
+_KEY_ORDER = ('timestamp', 'level', 'logger', 'event')
+
+
+def configure_logs(level: str = 'info') -> None:
+    """Write events of a level and above to standard output."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            _name_logger,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(
+                key_order=_KEY_ORDER,
+                drop_missing=True,
+                bool_as_flag=False,
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()],
+        ),
+        logger_factory=structlog.WriteLoggerFactory(),
+        cache_logger_on_first_use=False,
+    )
+
+
+def get_logger(name: str) -> Any:
+    """Return the logger with a dotted name."""
+    return structlog.get_logger(logger_name=name)
+
+
+def _name_logger(
+    logger: Any,
+    method: str,
+    event: MutableMapping[str, Any],
+) -> MutableMapping[str, Any]:
+    """Return the event with the logger's name under its short key."""
+    # structlog takes no initial value under the key ``logger``.
+    if 'logger_name' in event:
+        event['logger'] = event.pop('logger_name')
+    return event
--- a/fuchsiafork/settings/__init__.py
+++ b/fuchsiafork/settings/__init__.py
@@ -1,1 +1,21 @@
-"""Settings of the processes."""
+"""Settings of the programs."""
+
+from fuchsiafork.settings.loading import load_settings
+from fuchsiafork.settings.models import (
+    KeeperSettings,
+    LogSettings,
+    RouterSettings,
+    StoreSettings,
+    VmListSettings,
+    VmSettings,
+)
+
+__all__ = (
+    'KeeperSettings',
+    'LogSettings',
+    'RouterSettings',
+    'StoreSettings',
+    'VmListSettings',
+    'VmSettings',
+    'load_settings',
+)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,168 @@
+"""Tests of the key-value adapter against its stand-in."""
+
+import json
+import threading
+import unittest
+
+import urllib3
+
+from fuchsiafork.adapters.store import StoreClient
+from fuchsiafork.adapters.store_wire import StoreCallError
+from fuchsiafork.kernel.outbox import (
+    CompareAndSwap,
+    KeyRead,
+    KeysListed,
+    ListKeys,
+    ReadKey,
+    StoreFailed,
+    SwapDone,
+)
+from standins.store_application import StoreApplication
+from standins.store_parts import RateLimit
+from standins.store_server import StoreServer
+from standins.virtual import VirtualClock
+
+
+class StoreCase(unittest.TestCase):
+    """Base with a running stand-in."""
+
+    def setUp(self) -> None:
+        self.clock = VirtualClock()
+        self.application = StoreApplication(now=self.clock.now)
+        self.server = StoreServer(self.application)
+        self.server.start()
+        self.client = StoreClient([self.server.url], timeout_s=5)
+        self.addCleanup(self.server.stop)
+        self.addCleanup(self.client.close)
+
+    def set_faults(self, **faults: object) -> None:
+        """Change the switches over HTTP, as other processes do."""
+        url = f'{self.server.url}/faults'
+        urllib3.request('POST', url, json=faults)
+
+
+class TestOperations(StoreCase):
+    """Operations of the outbox."""
+
+    def test_swap_read_list_and_delete(self) -> None:
+        """Guards against a write that ignores the expected revision."""
+        write = CompareAndSwap('a/1', 0, b'\x00one', 't')
+        done = self.client.execute(write)
+        self.assertEqual(done, SwapDone('t', 'a/1', succeeded=True, revision=1))
+        again = self.client.execute(write)
+        self.assertEqual(
+            again, SwapDone('t', 'a/1', succeeded=False, revision=1)
+        )
+        self.client.execute(CompareAndSwap('b/1', 0, b'', 't'))
+        self.assertEqual(
+            self.client.execute(ListKeys('a/', 't')),
+            KeysListed('t', 'a/', (('a/1', 1, b'\x00one'),)),
+        )
+        self.client.execute(CompareAndSwap('a/1', 1, None, 't'))
+        self.assertEqual(
+            self.client.execute(ReadKey('a/1', 't')),
+            KeyRead('t', 'a/1', 0, None),
+        )
+        self.assertEqual(
+            self.client.execute(ReadKey('b/1', 't')),
+            KeyRead('t', 'b/1', 2, b''),
+        )
+
+    def test_lease_takes_its_key_along(self) -> None:
+        """Guards against a lock that outlives its holder."""
+        lease = self.client.grant_lease(5)
+        self.client.swap('lock', 0, b'me', lease)
+        self.clock.advance(4)
+        self.assertEqual(self.client.keep_lease(lease), 5)
+        self.clock.advance(6)
+        self.assertEqual(self.client.keep_lease(lease), 0)
+        self.assertEqual(self.client.execute(ReadKey('lock', 't')).revision, 0)
+        other = self.client.grant_lease(5)
+        self.client.swap('lock', 0, b'me', other)
+        self.client.revoke_lease(other)
+        self.assertEqual(self.client.execute(ReadKey('lock', 't')).revision, 0)
+
+
+class TestFaults(StoreCase):
+    """Calls without an answer."""
+
+    def test_lost_answer_is_unknown_and_took_effect(self) -> None:
+        """Guards against a write taken for failed that took effect."""
+        self.set_faults(lost_answer=1)
+        answer = self.client.execute(CompareAndSwap('k', 0, b'1', 't'))
+        self.assertEqual(answer, StoreFailed('t', 'k', outcome_unknown=True))
+        self.assertEqual(self.client.execute(ReadKey('k', 't')).value, b'1')
+
+    def test_slow_write_is_unknown(self) -> None:
+        """Guards against a time-out reported as no effect."""
+        self.set_faults(delay_s=0.5)
+        hasty = StoreClient([self.server.url], timeout_s=0.1)
+        self.addCleanup(hasty.close)
+        answer = hasty.execute(CompareAndSwap('k', 0, b'1', 't'))
+        self.assertTrue(answer.outcome_unknown)
+
+    def test_read_and_unreachable_write_have_no_effect(self) -> None:
+        """Guards against needless read-backs after failures."""
+        self.set_faults(down=True)
+        answer = self.client.execute(ReadKey('k', 't'))
+        self.assertEqual(answer, StoreFailed('t', 'k', outcome_unknown=False))
+        nowhere = StoreClient(['http://127.0.0.1:1'], timeout_s=1)
+        answer = nowhere.execute(CompareAndSwap('k', 0, b'1', 't'))
+        self.assertEqual(answer, StoreFailed('t', 'k', outcome_unknown=False))
+
+    def test_second_address_is_used(self) -> None:
+        """Guards against an outage of one address that stops all calls."""
+        client = StoreClient(['http://127.0.0.1:1', self.server.url])
+        self.addCleanup(client.close)
+        self.assertTrue(client.swap('k', 0, b'1')[0])
+
+    def test_large_value_and_rate_are_refused_without_effect(self) -> None:
+        """Guards against a stand-in without the service's limits."""
+        self.assertTrue(self.client.swap('k', 0, bytes(1_000_000))[0])
+        for _ in range(498):
+            self.client.swap('k', 99, b'')
+        with self.assertRaisesRegex(StoreCallError, 'too large') as large:
+            self.client.swap('k', 1, bytes(1_000_001))
+        self.assertFalse(large.exception.outcome_unknown)
+        with self.assertRaisesRegex(StoreCallError, 'too many') as many:
+            self.client.swap('k', 1, b'')
+        self.assertFalse(many.exception.outcome_unknown)
+        counts = urllib3.request('POST', f'{self.server.url}/counts')
+        self.assertEqual(
+            json.loads(counts.data),
+            {'write': 500, 'refused': 1, 'watches': 0},
+        )
+
+    def test_rate_limit_refills(self) -> None:
+        """Guards against a limit that never lets calls through again."""
+        limit = RateLimit(2, self.clock.now)
+        self.assertEqual([limit.take() for _ in range(3)], [True, True, False])
+        self.clock.advance(0.5)
+        self.assertEqual([limit.take() for _ in range(2)], [True, False])
+
+
+class TestWatch(StoreCase):
+    """Watches."""
+
+    def test_watch_sees_past_and_new_writes_of_its_key(self) -> None:
+        """Guards against a change missed between read and watch."""
+        self.client.swap('w', 0, b'1')
+        self.client.swap('wider', 0, b'x')
+        events = self.client.watch('w', 1)
+        self.assertEqual(next(events).value, b'1')
+        writer = threading.Timer(0.05, self.client.swap, ('w', 1, None))
+        writer.start()
+        deleted = next(events)
+        writer.join()
+        self.assertEqual((deleted.revision, deleted.value), (3, None))
+
+    def test_outage_breaks_watch_with_coded_error(self) -> None:
+        """Guards against a watch that waits for ever in an outage."""
+        self.client.swap('w', 0, b'1')
+        events = self.client.watch('w', 0, prefix=True)
+        starter = threading.Timer(0.05, self.client.swap, ('w1', 0, b'2'))
+        starter.start()
+        self.assertEqual(next(events).key, 'w1')
+        self.set_faults(down=True)
+        with self.assertRaises(StoreCallError):
+            next(events)
