--- a/fuchsiafork/messages/outcomes.py
+++ b/fuchsiafork/messages/outcomes.py
@@ -68,12 +68,15 @@
     """
     The outcome of the request that a key is bound to.
 
+    :ivar fingerprint: as in `BindKey`, for a home that is new to the key.
     :ivar state: ``done``, ``not_run`` (the key is free again) or ``unknown``.
     :ivar body: the answer, empty when it is over the bound for replays.
     """
 
     request_id: str
     key: str
+    fingerprint: str
+    idempotent: bool
     state: str
     status: int
     content_type: str
--- a/fuchsiafork/router/machine_end.py
+++ b/fuchsiafork/router/machine_end.py
@@ -84,6 +84,8 @@
         messages.RecordOutcome(
             request_id=run.request.request_id,
             key=run.request.key,
+            fingerprint=run.request.fingerprint,
+            idempotent=run.request.idempotent,
             state=state,
             **fields,
         ),
--- a/fuchsiafork/router/machine_steps.py
+++ b/fuchsiafork/router/machine_steps.py
@@ -8,6 +8,7 @@
 
 from fuchsiafork import messages
 from fuchsiafork.kernel.errors import (
+    ClaimUnavailableError,
     KeeperUnavailableError,
     KeyRequiredError,
     NoTargetError,
@@ -67,7 +68,12 @@
         ),
         (messages.KeyBound, messages.KeyReplay, messages.KeyRefused),
     )
-    run.bound = isinstance(reply, messages.KeyBound)
+    # After a refused claim the home must still hear that nothing was run,
+    # since the claim may have been stored without an answer.
+    run.bound = isinstance(reply, messages.KeyBound) or (
+        isinstance(reply, messages.KeyRefused)
+        and reply.code == ClaimUnavailableError.code
+    )
     return _replayed(reply, run)
 
 
