--- /dev/null
+++ b/fuchsiafork/budgets/__init__.py
@@ -0,0 +1,31 @@
+"""Prepaid budgets: who holds money, who may spend it, what is settled."""
+
+from fuchsiafork.budgets.holder import HolderSystem
+from fuchsiafork.budgets.holdings import HoldingsSystem
+from fuchsiafork.budgets.ledger import (
+    DEFAULT_SHARDS,
+    BudgetRow,
+    Record,
+    check_record,
+    decode_record,
+    encode_record,
+    ledger_key,
+    open_budget,
+    release,
+    top_up,
+)
+
+__all__ = (
+    'DEFAULT_SHARDS',
+    'BudgetRow',
+    'HolderSystem',
+    'HoldingsSystem',
+    'Record',
+    'check_record',
+    'decode_record',
+    'encode_record',
+    'ledger_key',
+    'open_budget',
+    'release',
+    'top_up',
+)
--- /dev/null
+++ b/fuchsiafork/budgets/forecast.py
@@ -0,0 +1,42 @@
+"""Forecast of a budget's demand at one holder."""
+
+import math
+
+SHORT_HORIZON_S = 5.0
+LONG_HORIZON_S = 60.0
+
+
+class Forecast:
+    """Exponentially weighted demand over two horizons, tokens a second."""
+
+    def __init__(self, now: float) -> None:
+        """Start with no demand."""
+        self._last = now
+        self._since = now
+        self._rates = [0.0, 0.0]
+
+    def add(self, now: float, tokens: int) -> None:
+        """Count tokens that a request asked for."""
+        self._decay(now)
+        for number, horizon in enumerate((SHORT_HORIZON_S, LONG_HORIZON_S)):
+            self._rates[number] += tokens / horizon
+
+    def rate(self, now: float) -> float:
+        """
+        Return the expected demand.
+
+        The long horizon decides, so that a burst does not move the shares;
+        it is corrected for the time that has been observed.
+        """
+        self._decay(now)
+        seen = max(now - self._since, SHORT_HORIZON_S)
+        short, long = self._rates
+        long /= 1 - math.exp(-seen / LONG_HORIZON_S)
+        return (short + 3 * long) / 4
+
+    def _decay(self, now: float) -> None:
+        """Let demand fade to the present."""
+        passed = max(0.0, now - self._last)
+        self._last = now
+        for number, horizon in enumerate((SHORT_HORIZON_S, LONG_HORIZON_S)):
+            self._rates[number] *= math.exp(-passed / horizon)
--- /dev/null
+++ b/fuchsiafork/budgets/holder.py
@@ -0,0 +1,430 @@
+"""The keeper's part that holds money and promises it to requests."""
+
+import functools
+from collections.abc import Callable
+from typing import Any
+
+from fuchsiafork import messages
+from fuchsiafork.budgets import ledger
+from fuchsiafork.budgets.closing import CloseOut
+from fuchsiafork.budgets.routers import RouterWatch
+from fuchsiafork.budgets.sync import LedgerSync
+from fuchsiafork.budgets.tables import HolderTables, Reservation, Waiting
+from fuchsiafork.budgets.transfers import TransferDesk
+from fuchsiafork.budgets.writes import Settlement
+from fuchsiafork.configuration import Document
+from fuchsiafork.kernel import Context, System
+from fuchsiafork.kernel import outbox as effects
+from fuchsiafork.kernel.errors import (
+    BudgetExhaustedError,
+    BudgetUnreachableError,
+)
+from fuchsiafork.membership import MembershipSystem
+
+PAUSE_LIMIT_S = 2.0
+VALID_S = 5.0
+WAIT_S = 1.0
+QUEUE_BOUND = 256
+# A router that still lacks a reservation after this never uses it.
+UNKNOWN_AFTER_S = 15.0
+_ASK_TARGET_S = 2.0
+_ASK_CLOSED_S = 0.5
+
+AskTarget = Callable[[str, str, str], None]
+
+
+class HolderSystem(System):
+    """
+    Reserves from this holder's grants and settles into the ledger.
+
+    :ivar ask_target: called with request id, budget and target (empty if
+        not known) for a request whose router died; the answer comes back
+        as a ``TargetRecord``.
+    """
+
+    accepts = (
+        messages.Reserve,
+        messages.StartUse,
+        messages.Settle,
+        messages.AskTransfer,
+        messages.TransferGrant,
+        messages.TransferReceived,
+        messages.OpenReservations,
+        messages.AskClosedOut,
+        messages.ClosedOutKnown,
+        messages.AskTransfersWritten,
+        messages.TransfersWritten,
+        messages.TargetRecord,
+    )
+
+    def __init__(
+        self,
+        context: Context,
+        membership: MembershipSystem,
+        shards: int = ledger.DEFAULT_SHARDS,
+    ) -> None:
+        """Start without money."""
+        super().__init__(context)
+        self.ask_target: AskTarget = lambda request_id, budget, target: None
+        self.tables = HolderTables(context.identity.holder, shards)
+        self.sync = LedgerSync(context, self.tables)
+        self._desk = TransferDesk(context, self.tables)
+        self._routers = RouterWatch(context, membership)
+        self._closing = CloseOut(
+            context,
+            self.tables,
+            membership,
+            self._routers,
+            self._desk.is_clear_of,
+        )
+        self.sync.plan_close = self._closing.plan
+        self.sync.is_lone = self._is_lone
+        self._membership = membership
+        self._last_tick = context.clock.now()
+        self._renewals = 0
+        self._question = 0
+        self._answers: dict[str, bool] = {}
+        self._next_question = 0.0
+
+    @property
+    def suspended(self) -> bool:
+        """Whether spending has stopped after a pause."""
+        return self.sync.suspended
+
+    def configure(self, document: Document) -> None:
+        """Open the budgets of a configuration."""
+        now = self._context.clock.now()
+        self.sync.openings = {
+            name: budget.opening_tokens
+            for name, budget in document.budgets.items()
+        }
+        for name in self.sync.openings:
+            self.tables.budget(name, now)
+
+    @functools.singledispatchmethod
+    def handle(self, message: Any, sender: str) -> None:
+        """Take one message."""
+
+    @handle.register
+    def _(self, message: messages.Reserve, sender: str) -> None:
+        self._notice_pause()
+        tables = self.tables
+        name = message.request_id
+        now = self._context.clock.now()
+        if name in tables.reservations:
+            self._confirm(tables.reservations[name])
+            return
+        known = name in tables.pending or name in tables.done
+        if known or name in tables.waiting:
+            return
+        if len(tables.waiting) >= QUEUE_BOUND:
+            self._refuse(message, sender)
+            return
+        state = tables.budget(message.budget, now)
+        state.forecast.add(now, message.tokens)
+        until = now + min(WAIT_S, message.deadline_s)
+        tables.waiting[name] = Waiting(message, sender, until)
+        self._serve_waiting()
+        if name in tables.waiting:
+            state.shard.urgent = True
+            self.sync.step(state.shard)
+
+    @handle.register
+    def _(self, message: messages.StartUse, sender: str) -> None:
+        held = self.tables.reservations.get(message.request_id)
+        if held is not None:
+            held.target = message.target
+
+    @handle.register
+    def _(self, message: messages.Settle, sender: str) -> None:
+        self._notice_pause()
+        tables = self.tables
+        name = message.request_id
+        held = tables.reservations.get(name)
+        tables.waiting.pop(name, None)
+        if name not in tables.done and name not in tables.pending:
+            bound = held.tokens if held else message.tokens
+            settlement = Settlement(
+                name,
+                message.budget,
+                message.holder,
+                min(message.tokens, bound),
+                message.key,
+                sender,
+            )
+            tables.settle(settlement, self._context.clock.now())
+            self._serve_waiting()
+        self._context.outbox.send(
+            sender,
+            messages.SettleAccepted(
+                name,
+                message.budget,
+                message.holder,
+                durable=name in tables.done,
+            ),
+        )
+
+    @handle.register
+    def _(self, message: messages.AskTransfer, sender: str) -> None:
+        self._notice_pause()
+        if not self.suspended:
+            self._desk.give(message)
+
+    @handle.register
+    def _(self, message: messages.TransferGrant, sender: str) -> None:
+        self._desk.take(message)
+        self._serve_waiting()
+
+    @handle.register
+    def _(self, message: messages.TransferReceived, sender: str) -> None:
+        self._desk.note_received(message)
+
+    @handle.register
+    def _(self, message: messages.OpenReservations, sender: str) -> None:
+        self._routers.note(message)
+        self._closing.take_report(message)
+        if message.holder == self.tables.holder:
+            self._reconcile(message)
+
+    @handle.register
+    def _(self, message: messages.AskClosedOut, sender: str) -> None:
+        self._context.outbox.send(
+            sender,
+            messages.ClosedOutKnown(
+                self._context.identity.node,
+                message.holder,
+                message.number,
+                self._closing.knows_closed(message.holder),
+            ),
+        )
+
+    @handle.register
+    def _(self, message: messages.ClosedOutKnown, sender: str) -> None:
+        if message.number == self._question:
+            self._answers[message.keeper] = message.closed
+
+    @handle.register
+    def _(self, message: messages.AskTransfersWritten, sender: str) -> None:
+        own = message.receiver == self.tables.holder
+        if own and self._desk.is_clear_of(message.giver):
+            self._context.outbox.send(
+                sender,
+                messages.TransfersWritten(message.giver, message.receiver),
+            )
+
+    @handle.register
+    def _(self, message: messages.TransfersWritten, sender: str) -> None:
+        self._closing.take_written(message)
+
+    @handle.register
+    def _(self, message: messages.TargetRecord, sender: str) -> None:
+        held = self.tables.reservations.get(message.request_id)
+        if held is not None and message.finished:
+            settlement = Settlement(
+                held.request_id,
+                held.budget,
+                self.tables.holder,
+                min(message.tokens, held.tokens),
+                message.key or held.request_id,
+                held.router,
+            )
+            self.tables.settle(settlement, self._context.clock.now())
+
+    @handle.register(effects.KeyRead)
+    @handle.register(effects.SwapDone)
+    @handle.register(effects.StoreFailed)
+    def _(self, message: effects.StoreAnswer, sender: str) -> None:
+        self._notice_pause()
+        self.sync.answer(message)
+        if self.sync.closed_out:
+            self._renew()
+        self._serve_waiting()
+
+    def tick(self) -> None:
+        """Do what is due by the clock."""
+        self._notice_pause()
+        now = self._context.clock.now()
+        self._last_tick = now
+        if self.suspended:
+            self._try_resume(now)
+        self._serve_waiting()
+        self._refuse_late(now)
+        self._routers.tick(self.tables.holder, self._closing.awake_since)
+        self._closing.tick()
+        self._ask_targets(now)
+        self.sync.tick()
+        if not self.suspended:
+            reachable = set(self._membership.domains())
+            self._desk.tick(reachable, set(self._membership.live()))
+        self.tables.forget_old(now)
+
+    def _notice_pause(self) -> None:
+        """Stop spending when this process stood still for too long."""
+        now = self._context.clock.now()
+        if now - self._last_tick <= PAUSE_LIMIT_S:
+            return
+        self._context.events.record('holder_paused', gap=now - self._last_tick)
+        self._last_tick = now
+        self._closing.awake_since = now
+        self.sync.suspended = True
+        self.sync.verify()
+        self._question += 1
+        self._answers = {}
+        self._next_question = now
+
+    def _try_resume(self, now: float) -> None:
+        """Go on when the ledger, or the whole domain, allows it."""
+        peers = set(self._membership.live()) - {self._context.identity.node}
+        asked = bool(peers) and peers <= self._answers.keys()
+        if self.sync.verified or (asked and not any(self._answers.values())):
+            self.sync.suspended = False
+            self._context.events.record('holder_resumed')
+            return
+        if now >= self._next_question:
+            self._next_question = now + _ASK_CLOSED_S
+            question = messages.AskClosedOut(
+                self.tables.holder,
+                self._question,
+            )
+            for peer in peers:
+                self._context.outbox.send(peer, question)
+
+    def _renew(self) -> None:
+        """Drop all money and go on under a new holder id."""
+        now = self._context.clock.now()
+        self._context.events.record(
+            'holder_closed_out',
+            holder=self.tables.holder,
+        )
+        self._renewals += 1
+        first = self._context.identity.holder
+        old = self.tables
+        self.tables = HolderTables(
+            f'{first}+{self._renewals}',
+            old.shard_count,
+        )
+        self.tables.waiting = old.waiting
+        for name in old.budgets:
+            self.tables.budget(name, now)
+        self.sync.reset(self.tables)
+        self._desk.reset(self.tables)
+        self._closing.reset(self.tables)
+
+    def _is_lone(self) -> bool:
+        """Return whether routers of this VM depend on this holder."""
+        routers = [row.router for row in self.tables.reservations.values()]
+        routers.extend(row.router for row in self.tables.waiting.values())
+        return len(self._membership.live()) < 2 or any(
+            self._is_own(router) for router in routers
+        )
+
+    def _is_own(self, router: str) -> bool:
+        """Return whether a router runs on this VM."""
+        return router.partition('/')[0] == self._context.identity.vm
+
+    def _may_serve(self, row: Waiting) -> bool:
+        """
+        Return whether the record of a reservation would be safe.
+
+        A router of this VM dies with this keeper, so the ledger must say
+        beforehand that nobody else may know of its reservations.
+        """
+        if not self._is_own(row.router):
+            return True
+        shard = self.tables.shard_of(row.message.budget)
+        known = shard.record.holders.get(self.tables.holder)
+        marks = [attempt.write.lone for attempt in shard.attempts.values()]
+        return known is not None and known.lone and all(marks)
+
+    def _serve_waiting(self) -> None:
+        """Reserve for the waiting requests that fit, oldest first."""
+        if self.suspended or not self.tables.waiting:
+            return
+        tables = self.tables
+        now = self._context.clock.now()
+        for name, row in [*tables.waiting.items()]:
+            message = row.message
+            fits = message.tokens <= tables.available(message.budget, now)
+            if not fits or not self._may_serve(row) or now >= row.until:
+                continue
+            tables.waiting.pop(name)
+            held = Reservation(
+                name,
+                message.budget,
+                message.account,
+                row.router,
+                message.tokens,
+                now,
+            )
+            tables.reservations[name] = held
+            tables.budget(message.budget, now).reserved += held.tokens
+            self._confirm(held)
+
+    def _refuse_late(self, now: float) -> None:
+        """Refuse what has waited too long; ask the ledger for the rest."""
+        for name, row in [*self.tables.waiting.items()]:
+            if now >= row.until:
+                self.tables.waiting.pop(name)
+                self._refuse(row.message, row.router)
+            else:
+                self.tables.shard_of(row.message.budget).urgent = True
+
+    def _confirm(self, held: Reservation) -> None:
+        """Tell the router that its reservation stands."""
+        self._context.outbox.send(
+            held.router,
+            messages.Reserved(
+                held.request_id,
+                held.budget,
+                self.tables.holder,
+                held.tokens,
+                VALID_S,
+            ),
+        )
+
+    def _refuse(self, message: messages.Reserve, router: str) -> None:
+        """Tell a router that there is no money, or none in reach."""
+        shard = self.tables.shard_of(message.budget)
+        unsure = self.suspended or shard.failing
+        kind = BudgetUnreachableError if unsure else BudgetExhaustedError
+        self._context.outbox.send(
+            router,
+            messages.ReserveRefused(
+                message.request_id,
+                message.budget,
+                kind.code,
+                WAIT_S if unsure else 0,
+            ),
+        )
+
+    def _reconcile(self, report: messages.OpenReservations) -> None:
+        """Release old reservations that their router does not know."""
+        now = self._context.clock.now()
+        known = {row.request_id for row in report.rows}
+        for held in [*self.tables.reservations.values()]:
+            old = now - held.made_at > UNKNOWN_AFTER_S
+            if held.router != report.router or held.request_id in known:
+                continue
+            if old and not self._routers.lost_owner(
+                held.router,
+                held.made_at,
+            ):
+                self.tables.settle(
+                    Settlement(
+                        held.request_id,
+                        held.budget,
+                        self.tables.holder,
+                        0,
+                        '',
+                        held.router,
+                    ),
+                    now,
+                )
+
+    def _ask_targets(self, now: float) -> None:
+        """Ask for the records of requests whose router was lost."""
+        for held in self.tables.reservations.values():
+            due = now - held.asked_target_at > _ASK_TARGET_S
+            if due and self._routers.lost_owner(held.router, held.made_at):
+                held.asked_target_at = now
+                self.ask_target(held.request_id, held.budget, held.target)
--- /dev/null
+++ b/fuchsiafork/budgets/ledger.py
@@ -0,0 +1,241 @@
+"""The ledger record of a shard: prepaid, settled and granted tokens."""
+
+import dataclasses
+
+from typing import Any
+
+import cbor2
+
+from fuchsiafork.kernel import InvariantViolationError, stable_hash
+
+DEFAULT_SHARDS = 16
+CHANGES_KEPT = 64
+CLOSED_KEPT = 256
+# Keys are bound for 10 minutes; a settlement is not repeated after that.
+KEY_AGE_S = 600
+# 24 bytes each: the record stays far below the store's 1 MB.
+KEYS_KEPT = 4096
+_FORMAT = 1
+
+
+@dataclasses.dataclass(slots=True)
+class BudgetRow:
+    """
+    One budget, in tokens.
+
+    :ivar prepaid: sum of the top-ups.
+    :ivar duplicate: used by second executions of a key, not billed.
+    :ivar grants: outstanding grant by holder; the entry of a closed holder
+        is what is withheld for it, and is negative when it spent a
+        transfer that its giver has not written yet.
+    :ivar rates: demand by holder in tokens a second, from its last write.
+    :ivar changes: ids of the last top-ups and releases.
+    """
+
+    prepaid: int = 0
+    settled: int = 0
+    duplicate: int = 0
+    opened: bool = False
+    grants: dict[str, int] = dataclasses.field(default_factory=dict)
+    rates: dict[str, int] = dataclasses.field(default_factory=dict)
+    changes: list[str] = dataclasses.field(default_factory=list)
+
+    @property
+    def free(self) -> int:
+        """Tokens that belong to no holder."""
+        held = sum(grant for grant in self.grants.values() if grant > 0)
+        return self.prepaid - self.settled - self.duplicate - held
+
+
+@dataclasses.dataclass(slots=True)
+class HolderRow:
+    """
+    A holder's writes to this record.
+
+    :ivar sequence: number of its last write that took effect.
+    :ivar lone: routers on its own VM may hold reservations with it.
+    :ivar wall: Unix time of its last write.
+    :ivar closed: Unix time of its close-out, 0 before.
+    """
+
+    sequence: int
+    domain: str
+    lone: bool = False
+    wall: int = 0
+    closed: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Transfer:
+    """
+    Money that moved between two holders outside the ledger.
+
+    :ivar writer: the side that wrote it first, empty before that.
+    """
+
+    budget: str
+    giver: str
+    receiver: str
+    tokens: int
+    writer: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """
+    All budgets of one shard.
+
+    :ivar closed: closed-out holders, whose writes fail.
+    :ivar transfers: written by one side and not yet by the other.
+    :ivar keys: digest of a settled key, digest of its request, Unix time.
+    """
+
+    budgets: dict[str, BudgetRow] = dataclasses.field(default_factory=dict)
+    holders: dict[str, HolderRow] = dataclasses.field(default_factory=dict)
+    closed: dict[str, HolderRow] = dataclasses.field(default_factory=dict)
+    transfers: dict[str, Transfer] = dataclasses.field(default_factory=dict)
+    keys: dict[bytes, tuple[bytes, int]] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+def copy_record(record: Record) -> Record:
+    """Return a copy that shares nothing that changes."""
+    return Record(
+        {
+            name: _budget_row(*_fields(row))
+            for name, row in record.budgets.items()
+        },
+        {
+            name: dataclasses.replace(row)
+            for name, row in record.holders.items()
+        },
+        {name: dataclasses.replace(row) for name, row in record.closed.items()},
+        {
+            name: dataclasses.replace(row)
+            for name, row in record.transfers.items()
+        },
+        {**record.keys},
+    )
+
+
+def _fields(row: Any) -> list[Any]:
+    """Return the values of a row in order."""
+    return [getattr(row, field.name) for field in dataclasses.fields(row)]
+
+
+def _budget_row(*values: Any) -> BudgetRow:
+    """Return a budget's row that owns its containers."""
+    row = BudgetRow(*values)
+    row.grants = {**row.grants}
+    row.rates = {**row.rates}
+    row.changes = [*row.changes]
+    return row
+
+
+def ledger_key(budget: str, shards: int = DEFAULT_SHARDS) -> str:
+    """Return the store key of a budget's record."""
+    return f'ledger/{stable_hash(budget) % shards}'
+
+
+def encode_record(record: Record) -> bytes:
+    """Return the CBOR form of a record."""
+    fields = [
+        {name: _fields(row) for name, row in table.items()}
+        for table in (
+            record.budgets,
+            record.holders,
+            record.transfers,
+            record.closed,
+        )
+    ]
+    return cbor2.dumps([_FORMAT, *fields, record.keys])
+
+
+def decode_record(encoded: bytes | None) -> Record:
+    """Return the record of a store value, an empty one for none."""
+    if encoded is None:
+        return Record()
+    _, budgets, holders, transfers, closed, keys = cbor2.loads(encoded)
+    return Record(
+        budgets={name: _budget_row(*row) for name, row in budgets.items()},
+        holders={name: HolderRow(*row) for name, row in holders.items()},
+        closed={name: HolderRow(*row) for name, row in closed.items()},
+        transfers={name: Transfer(*row) for name, row in transfers.items()},
+        keys={key: (row[0], row[1]) for key, row in keys.items()},
+    )
+
+
+def check_record(record: Record) -> None:
+    """
+    Check every budget of a record before it is written.
+
+    :raises InvariantViolationError: if settled + duplicate + sum of grants
+        is over prepaid.
+    """
+    for name, row in record.budgets.items():
+        bound = row.settled + row.duplicate + sum(row.grants.values())
+        if bound > row.prepaid:
+            raise InvariantViolationError(
+                f'budget {name!r}: {bound!r} over prepaid {row.prepaid!r}',
+            )
+
+
+def open_budget(record: Record, budget: str, tokens: int) -> Record:
+    """Return the record with a budget's opening credit, given once."""
+    changed = copy_record(record)
+    row = changed.budgets.setdefault(budget, BudgetRow())
+    if not row.opened:
+        row.opened = True
+        row.prepaid += tokens
+    check_record(changed)
+    return changed
+
+
+def top_up(
+    record: Record,
+    budget: str,
+    tokens: int,
+    change_id: str,
+) -> Record:
+    """
+    Return the record with a credit, given once for each change id.
+
+    :raises ValueError: if tokens is not positive.
+    """
+    if tokens <= 0:
+        raise ValueError(f'a top-up must be positive, not {tokens!r}')
+    changed = copy_record(record)
+    row = changed.budgets.setdefault(budget, BudgetRow())
+    if change_id not in row.changes:
+        row.prepaid += tokens
+        _note_change(row, change_id)
+    check_record(changed)
+    return changed
+
+
+def release(
+    record: Record,
+    budget: str,
+    holder: str,
+    change_id: str,
+) -> Record:
+    """
+    Return the record without what is withheld for a closed-out holder.
+
+    :raises ValueError: if the holder is not closed out.
+    """
+    if holder not in record.closed:
+        raise ValueError(f'holder {holder!r} is not closed out')
+    changed = copy_record(record)
+    row = changed.budgets[budget]
+    if change_id not in row.changes:
+        row.grants.pop(holder, None)
+        _note_change(row, change_id)
+    check_record(changed)
+    return changed
+
+
+def _note_change(row: BudgetRow, change_id: str) -> None:
+    """Keep the id of a change, and drop the oldest one over the bound."""
+    row.changes = [*row.changes, change_id][-CHANGES_KEPT:]
--- /dev/null
+++ b/fuchsiafork/budgets/writes.py
@@ -0,0 +1,216 @@
+"""What a holder's write does to a ledger record."""
+
+import dataclasses
+
+from fuchsiafork.budgets import ledger
+from fuchsiafork.kernel import stable_hash
+
+# Below this excess over its share a holder keeps its grant: moving small
+# amounts to and fro costs writes.
+RETURN_FACTOR = 1.25
+_DIGEST_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settlement:
+    """
+    Tokens used by a request.
+
+    :ivar holder: the holder whose grant pays.
+    :ivar router: node that waits for the acknowledgement.
+    """
+
+    request_id: str
+    budget: str
+    holder: str
+    tokens: int
+    key: str
+    router: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """
+    What a holder asks for one budget.
+
+    :ivar least: grant below which it cannot go, for it has promised that.
+    :ivar need: grant that the requests waiting now need.
+    :ivar rate: its forecast of demand, tokens a second.
+    """
+
+    least: int
+    need: int
+    rate: int
+
+
+@dataclasses.dataclass(slots=True)
+class HolderWrite:
+    """
+    One write of a holder to a record.
+
+    :ivar closes: holders to close out.
+    :ivar withheld: what stays withheld by closed holder and budget.
+    """
+
+    holder: str
+    domain: str
+    sequence: int
+    wall: int
+    lone: bool = False
+    settlements: list[Settlement] = dataclasses.field(default_factory=list)
+    transfers: dict[str, ledger.Transfer] = dataclasses.field(
+        default_factory=dict,
+    )
+    wants: dict[str, Want] = dataclasses.field(default_factory=dict)
+    openings: dict[str, int] = dataclasses.field(default_factory=dict)
+    closes: list[str] = dataclasses.field(default_factory=list)
+    withheld: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+def apply_write(record: ledger.Record, write: HolderWrite) -> ledger.Record:
+    """
+    Return the record after a holder's write.
+
+    :raises ValueError: if the holder has been closed out.
+    :raises InvariantViolationError: if a budget would be over its credit.
+    """
+    if write.holder in record.closed:
+        raise ValueError(f'holder {write.holder!r} is closed out')
+    changed = ledger.copy_record(record)
+    changed.holders[write.holder] = ledger.HolderRow(
+        write.sequence,
+        write.domain,
+        write.lone,
+        write.wall,
+    )
+    for name, tokens in write.openings.items():
+        changed = ledger.open_budget(changed, name, tokens)
+    for transfer_id, transfer in write.transfers.items():
+        _move(changed, transfer_id, transfer, write.holder)
+    for settlement in write.settlements:
+        _settle(changed, settlement, write.wall)
+    _close(changed, write)
+    for name, want in write.wants.items():
+        if name in changed.budgets:
+            _adjust(changed.budgets[name], write.holder, want)
+    _prune(changed, write.wall)
+    ledger.check_record(changed)
+    return changed
+
+
+def digest(name: str) -> bytes:
+    """Return a short digest of a key or of a request id."""
+    return stable_hash(name).to_bytes(_DIGEST_BYTES, 'big')
+
+
+def _move(
+    record: ledger.Record,
+    transfer_id: str,
+    transfer: ledger.Transfer,
+    writer: str,
+) -> None:
+    """Apply a transfer at its first side's write, forget it at the other's."""
+    known = record.transfers.get(transfer_id)
+    if known is not None:
+        if known.writer != writer:
+            record.transfers.pop(transfer_id)
+        return
+    grants = record.budgets[transfer.budget].grants
+    for holder, change in (
+        (transfer.giver, -transfer.tokens),
+        (transfer.receiver, transfer.tokens),
+    ):
+        grants[holder] = grants.get(holder, 0) + change
+    record.transfers[transfer_id] = dataclasses.replace(
+        transfer,
+        writer=writer,
+    )
+
+
+def _settle(
+    record: ledger.Record,
+    settlement: Settlement,
+    wall: int,
+) -> None:
+    """Move used tokens out of the holder's grant, once for each request."""
+    key = digest(settlement.key)
+    request = digest(settlement.request_id)
+    # The second execution of a key has a row under its own request id.
+    if record.keys.get(key, (b'', 0))[0] == request or request in record.keys:
+        return
+    row = record.budgets.setdefault(settlement.budget, ledger.BudgetRow())
+    grants = row.grants
+    grants[settlement.holder] = (
+        grants.get(settlement.holder, 0) - settlement.tokens
+    )
+    if key in record.keys:
+        row.duplicate += settlement.tokens
+        record.keys[request] = (request, wall)
+    else:
+        row.settled += settlement.tokens
+        record.keys[key] = (request, wall)
+
+
+def _close(record: ledger.Record, write: HolderWrite) -> None:
+    """Fence dead holders off and free what nothing is withheld for."""
+    for name in write.closes:
+        row = record.holders.pop(name, None)
+        if row is not None:
+            row.closed = write.wall
+            record.closed[name] = row
+    for (holder, budget), tokens in write.withheld.items():
+        grants = record.budgets[budget].grants
+        if holder in record.closed and grants.get(holder, 0) > tokens:
+            grants[holder] = tokens
+
+
+def _adjust(row: ledger.BudgetRow, holder: str, want: Want) -> None:
+    """Bring a holder's grant towards its share of what is unspent."""
+    grant = row.grants.get(holder, 0)
+    row.rates[holder] = want.rate
+    unspent = row.free + sum(held for held in row.grants.values() if held > 0)
+    total = sum(row.rates.values())
+    share = unspent * want.rate // total if total else 0
+    goal = max(want.least, want.need, share)
+    if grant < goal:
+        grant += max(0, min(goal - grant, row.free))
+    elif grant > max(RETURN_FACTOR * share, want.least, want.need):
+        grant = goal
+    row.grants[holder] = grant
+
+
+def _drop_if_done(
+    record: ledger.Record,
+    name: str,
+    transfer: ledger.Transfer,
+) -> None:
+    """Forget a transfer whose other side can no longer write."""
+    other = {transfer.giver, transfer.receiver} - {transfer.writer}
+    if other <= record.closed.keys():
+        record.transfers.pop(name)
+
+
+def _prune(record: ledger.Record, wall: int) -> None:
+    """Drop what no later write can ask for."""
+    for row in record.budgets.values():
+        for holder in [*row.rates]:
+            if holder in record.closed:
+                row.rates.pop(holder)
+        for holder in [*row.grants]:
+            if not row.grants[holder]:
+                row.grants.pop(holder)
+    for name, transfer in [*record.transfers.items()]:
+        if {transfer.giver, transfer.receiver} & record.closed.keys():
+            # The other side of a written transfer is the closed one.
+            _drop_if_done(record, name, transfer)
+    while len(record.closed) > ledger.CLOSED_KEPT:
+        record.closed.pop(next(iter(record.closed)))
+    old = wall - ledger.KEY_AGE_S
+    for key in [*record.keys]:
+        # Insertion follows time, so the first young row ends the search.
+        young = record.keys[key][1] >= old
+        if young and len(record.keys) <= ledger.KEYS_KEPT:
+            break
+        record.keys.pop(key)
--- a/fuchsiafork/messages/__init__.py
+++ b/fuchsiafork/messages/__init__.py
@@ -1,8 +1,11 @@
 """Typed messages between own processes, and their codec."""
 
 from fuchsiafork.messages.budgets import (
+    AskClosedOut,
     AskOpenReservations,
     AskTransfer,
+    AskTransfersWritten,
+    ClosedOutKnown,
     OpenReservation,
     OpenReservations,
     Reserve,
@@ -11,8 +14,10 @@
     Settle,
     SettleAccepted,
     StartUse,
+    TargetRecord,
     TransferGrant,
     TransferReceived,
+    TransfersWritten,
 )
 from fuchsiafork.messages.configuration import (
     ConfigurationDocument,
@@ -61,12 +66,15 @@
 __all__ = (
     'PROTOCOL_VERSION',
     'AcquireSlot',
+    'AskClosedOut',
     'AskOpenReservations',
     'AskOpenSlots',
     'AskTransfer',
+    'AskTransfersWritten',
     'BindKey',
     'CacheEvents',
     'CancelAcquire',
+    'ClosedOutKnown',
     'ConfigurationDocument',
     'ConfigurationOffer',
     'Envelope',
@@ -97,8 +105,10 @@
     'SlotRefused',
     'SlotReleased',
     'StartUse',
+    'TargetRecord',
     'TransferGrant',
     'TransferReceived',
+    'TransfersWritten',
     'VerdictNotice',
     'decode',
     'encode',
--- a/fuchsiafork/messages/budgets.py
+++ b/fuchsiafork/messages/budgets.py
@@ -168,8 +168,74 @@
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenReservations:
-    """All that a router holds with a holder."""
+    """
+    All that a router holds with a holder.
+
+    :ivar age_s: seconds since the router's start; a younger router than a
+        reservation has lost it.
+    """
 
     router: str
     holder: str
     rows: tuple[OpenReservation, ...]
+    age_s: float = 0
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskClosedOut:
+    """A holder that was paused asks whether it was closed out."""
+
+    holder: str
+    number: int
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClosedOutKnown:
+    """
+    Whether a keeper has closed out a holder, or is about to.
+
+    :ivar number: number of the question.
+    """
+
+    keeper: str
+    holder: str
+    number: int
+    closed: bool
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskTransfersWritten:
+    """The keeper that closes out a giver asks a possible receiver."""
+
+    giver: str
+    receiver: str
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransfersWritten:
+    """All money that the receiver had from the giver is in the ledger."""
+
+    giver: str
+    receiver: str
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetRecord:
+    """
+    A target's record of a request whose router died.
+
+    :ivar finished: the request has ended or never arrived.
+    :ivar tokens: tokens used, 0 if it never arrived.
+    :ivar key: digest of its idempotency key, empty for none.
+    """
+
+    request_id: str
+    budget: str
+    finished: bool
+    tokens: int
+    key: str = ''
