--- a/fuchsiafork/budgets/sync.py
+++ b/fuchsiafork/budgets/sync.py
@@ -90,6 +90,9 @@
                 ledger.decode_record(message.value),
                 message.revision,
             )
+            # The sooner the write follows its read, the fewer collide.
+            if not self.closed_out:
+                self.step(shard)
 
     @answer.register
     def _(self, message: effects.SwapDone) -> None:
@@ -103,6 +106,7 @@
             return
         shard.attempts.pop(sequence, None)
         shard.must_read = True
+        shard.urgent = True
         self.step(shard)
 
     @answer.register
--- a/fuchsiafork/budgets/writes.py
+++ b/fuchsiafork/budgets/writes.py
@@ -8,6 +8,9 @@
 # Below this excess over its share a holder keeps its grant: moving small
 # amounts to and fro costs writes.
 RETURN_FACTOR = 1.25
+# A forecast takes at most this part of what is free in one write, so that
+# the first holder to write does not take all.
+FORECAST_PART = 2
 _DIGEST_BYTES = 8
 
 
@@ -175,7 +178,9 @@
     share = unspent * want.rate // total if total else 0
     goal = max(want.least, want.need, share)
     if grant < goal:
-        grant += max(0, min(goal - grant, row.free))
+        least = max(want.least, want.need) - grant
+        part = max(least, row.free // FORECAST_PART)
+        grant += max(0, min(goal - grant, part, row.free))
     elif grant > max(RETURN_FACTOR * share, want.least, want.need):
         grant = goal
     row.grants[holder] = grant
