--- a/fuchsiafork/messages/budgets.py
+++ b/fuchsiafork/messages/budgets.py
@@ -14,6 +14,8 @@
     :ivar tokens: prompt tokens plus output limit.
     :ivar deadline_s: seconds from now after which the answer is useless.
     :ivar exclude_vm: VM whose keeper should not be the holder.
+    :ivar key: the key that the settlement will carry, for a holder that
+        settles from a target's record after the router's death.
     """
 
     request_id: str
@@ -22,6 +24,7 @@
     tokens: int
     deadline_s: float
     exclude_vm: str
+    key: str = ''
 
 
 @message
--- a/fuchsiafork/router/machine_end.py
+++ b/fuchsiafork/router/machine_end.py
@@ -9,12 +9,17 @@
 
 _RECORD_S = 1.0
 _CLIENT_ERROR = 400
+_SERVER_ERROR = 500
 
 
 def conclude(run: Run, answer: Answer) -> steps.Steps:
     """Settle and record a request whose answer is whole."""
     relayed = run.relayed
-    yield from steps.settle(run, _price(run, answer), run.settle_key)
+    if answer.status >= _SERVER_ERROR and not run.request.idempotent:
+        # Such an answer does not say whether the call took effect.
+        yield from _settle_unknown(run)
+    else:
+        yield from steps.settle(run, _price(run, answer), run.settle_key)
     yield from _record(
         run,
         state='done',
--- /dev/null
+++ b/fuchsiafork/router/machine_late.py
@@ -0,0 +1,52 @@
+"""Replies that arrive after the request that asked has ended."""
+
+import functools
+from typing import Any
+
+from fuchsiafork import messages
+from fuchsiafork.router.machine_steps import unsent
+from fuchsiafork.router.machine_types import Tell
+
+
+@functools.singledispatch
+def late_reply(message: Any) -> Tell | None:
+    """
+    Return what gives a late grant back, or None if it grants nothing.
+
+    The driver calls this for a reply whose request has ended, and only if it
+    holds no unacknowledged message with the reply's ``request_id``: a
+    settlement under way must not be overtaken by a cancellation.
+    """
+    return None
+
+
+@late_reply.register
+def _(message: messages.SlotAcquired) -> Tell | None:
+    return Tell(
+        messages.ReleaseSlot(
+            request_id=message.request_id,
+            route=message.route,
+            group='',
+            target=message.target,
+            version=message.version,
+            owner=message.owner,
+            observation=unsent(),
+        ),
+        destination=message.owner,
+        acknowledged_by=messages.SlotReleased,
+    )
+
+
+@late_reply.register
+def _(message: messages.Reserved) -> Tell | None:
+    return Tell(
+        messages.Settle(
+            request_id=message.request_id,
+            budget=message.budget,
+            account='',
+            holder=message.holder,
+            tokens=0,
+            key=message.request_id,
+        ),
+        acknowledged_by=messages.SettleAccepted,
+    )
--- a/fuchsiafork/router/machine_steps.py
+++ b/fuchsiafork/router/machine_steps.py
@@ -149,6 +149,7 @@
             tokens=request.worst_case,
             deadline_s=run.remaining_s,
             exclude_vm=run.services.vm,
+            key=run.settle_key,
         ),
         (messages.Reserved, messages.ReserveRefused),
     )
--- a/fuchsiafork/router/machine_types.py
+++ b/fuchsiafork/router/machine_types.py
@@ -97,6 +97,7 @@
 
     The reply is a message of one of the ``expects`` types with the same
     ``request_id``, or None after ``timeout_s`` or when no keeper is linked.
+    A reply whose request has ended goes to `machine_late.late_reply`.
     """
 
     message: Any
