--- a/fuchsiafork/messages/dispatch.py
+++ b/fuchsiafork/messages/dispatch.py
@@ -16,6 +16,8 @@
     :ivar prefixes: hashes of the prompt's prefixes, longest last.
     :ivar exclude: targets that this request has failed on.
     :ivar foreign: the asking router is of another failure domain.
+    :ivar attempt: number of this wish for a slot, unique in its router.
+    :ivar sent_at: the router's clock when it sent this copy, in seconds.
     """
 
     request_id: str
@@ -27,6 +29,8 @@
     prefixes: tuple[int, ...]
     exclude: tuple[str, ...]
     foreign: bool
+    attempt: int = 0
+    sent_at: float = 0.0
 
 
 @message
@@ -36,6 +40,10 @@
     The request may be sent to this target.
 
     :ivar owner: node id of the keeper that owns the slot.
+    :ivar foreign: the slot is in another failure domain than the router.
+    :ivar attempt: the attempt of the latest AcquireSlot that was taken.
+    :ivar sent_at: its send time on the router's clock, in seconds, from
+        which the age of the grant is counted.
     """
 
     request_id: str
@@ -44,6 +52,9 @@
     url: str
     version: str
     owner: str
+    foreign: bool = False
+    attempt: int = 0
+    sent_at: float = 0.0
 
 
 @message
@@ -55,6 +66,7 @@
     route: str
     code: int
     retry_after_s: float
+    attempt: int = 0
 
 
 @message
@@ -80,7 +92,12 @@
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleaseSlot:
-    """The router has ended its use of a slot."""
+    """
+    The router has ended its use of a slot.
+
+    :ivar owner_now: the owner that asked last for the target's open slots,
+        when the grant of another one is given back unused.
+    """
 
     request_id: str
     route: str
@@ -89,6 +106,8 @@
     version: str
     owner: str
     observation: Observation
+    attempt: int = 0
+    owner_now: str = ''
 
 
 @message
@@ -97,6 +116,8 @@
     """The owner has freed the slot, so the router may forget it."""
 
     request_id: str
+    attempt: int = 0
+    target: str = ''
 
 
 @message
@@ -107,6 +128,7 @@
     request_id: str
     route: str
     group: str
+    attempt: int = 0
 
 
 @message
@@ -116,15 +138,25 @@
 
     request_id: str
     target: str
+    route: str = ''
+    version: str = ''
+    attempt: int = 0
 
 
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskOpenSlots:
-    """A new owner asks a router for the slots it uses."""
+    """
+    An owner asks a router for the slots it uses.
+
+    From then on the router takes grants on these targets from it only.
+
+    :ivar ask_id: echoed in the answer.
+    """
 
     owner: str
     targets: tuple[str, ...]
+    ask_id: str = ''
 
 
 @message
@@ -134,6 +166,7 @@
 
     router: str
     rows: tuple[OpenSlot, ...]
+    ask_id: str = ''
 
 
 @message
@@ -142,9 +175,12 @@
     """
     A target's own report, read from it with a lag.
 
-    :ivar identity: changes when the address is used by another target.
+    :ivar identity: changes when the address is used by another target;
+        empty when the target could not be reached.
     :ivar ready: whether the target takes new work.
     :ivar running: requests that it holds.
+    :ivar taken_at: the owner's clock when it asked the target, in seconds;
+        0 if unknown.
     """
 
     target: str
@@ -153,6 +189,7 @@
     ready: bool
     running: int
     capacity: int
+    taken_at: float = 0.0
 
 
 @message
--- a/standins/engine_types.py
+++ b/standins/engine_types.py
@@ -1,5 +1,6 @@
 """Settings and rows of the engine model."""
 
+import collections
 import dataclasses
 import enum
 
@@ -108,6 +109,27 @@
     capacity: int
 
 
+class ReportHistory:
+    """Reports of the near past, for a reader that sees them late."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._rows: collections.deque[tuple[float, Report]] = (
+            collections.deque()
+        )
+
+    def note(self, moment: float, report: Report) -> None:
+        """Keep a report from its time on."""
+        if not self._rows or self._rows[-1][1] != report:
+            self._rows.append((moment, report))
+
+    def at(self, moment: float) -> Report:
+        """Return the report of a time, and forget older ones."""
+        while len(self._rows) > 1 and self._rows[1][0] <= moment:
+            self._rows.popleft()
+        return self._rows[0][1]
+
+
 def token_text(request_id: str, index: int) -> str:
     """Return the text of one token, which names its request."""
     return f'{request_id}.{index} '
