Keep each failure domain's part of money that no forecast needs

Change: what forecasts do not need is split equally between domains; of two short holders the one that is shorter yields; a giver remembers a question for 0.3 s.

--- a/fuchsiafork/budgets/holder.py
+++ b/fuchsiafork/budgets/holder.py
@@ -79,6 +79,7 @@
         )
         self.sync.plan_close = self._closing.plan
         self.sync.is_lone = self._is_lone
+        self.sync.is_base = self._is_base
         self._membership = membership
         self._last_tick = context.clock.now()
         self._renewals = 0
@@ -318,6 +319,11 @@
             self._is_own(router) for router in routers
         )
 
+    def _is_base(self, budget: str) -> bool:
+        """Return whether this keeper is the domain's first for a budget."""
+        node = self._context.identity.node
+        return self._membership.homes(f'budget:{budget}')[0] == node
+
     def _is_own(self, router: str) -> bool:
         """Return whether a router runs on this VM."""
         return router.partition('/')[0] == self._context.identity.vm
@@ -337,9 +343,14 @@
         return known is not None and known.lone and all(marks)
 
     def _serve_waiting(self) -> None:
-        """Reserve for the waiting requests that fit, oldest first."""
-        if self.suspended or not self.tables.waiting:
+        """Reserve for the waiting requests that fit, then serve others."""
+        if self.suspended:
             return
+        self._serve_own()
+        self._desk.give_standing()
+
+    def _serve_own(self) -> None:
+        """Reserve for the waiting requests that fit, oldest first."""
         tables = self.tables
         now = self._context.clock.now()
         for name, row in [*tables.waiting.items()]:
--- a/fuchsiafork/budgets/sync.py
+++ b/fuchsiafork/budgets/sync.py
@@ -35,6 +35,7 @@
         self.suspended = False
         self.closed_out = False
         self.is_lone: Callable[[], bool] = lambda: False
+        self.is_base: Callable[[str], bool] = lambda budget: True
         self.plan_close: Planner = lambda shard, write: None
         self._context = context
         self._tables = tables
@@ -238,7 +239,10 @@
             least = state.reserved + state.unwritten - settled[name]
             least -= state.moved - moved[name]
             rate = int(state.forecast.rate(now))
-            wants[name] = Want(max(0, least), least + waiting[name], rate)
+            base = self.is_base(name)
+            need = least + waiting[name]
+            if base or rate or need or state.granted(self._tables.holder):
+                wants[name] = Want(max(0, least), need, rate, base)
         return wants
 
     def _sums(
--- a/fuchsiafork/budgets/transfers.py
+++ b/fuchsiafork/budgets/transfers.py
@@ -7,6 +7,8 @@
 
 ASK_INTERVAL_S = 0.03
 ASKED_AT_ONCE = 2
+# Three rounds of questions; the asker repeats a question that still holds.
+STANDING_S = 0.3
 REPEAT_S = 0.5
 
 
@@ -53,6 +55,9 @@
         self._tables = tables
         self._count = 0
         self._barred: set[str] = set()
+        self._standing: dict[
+            tuple[str, str], tuple[messages.AskTransfer, float]
+        ] = {}
 
     def reset(self, tables: HolderTables) -> None:
         """Go on under a new holder id."""
@@ -81,8 +86,16 @@
                 held.sent_at = now
                 self._send(name, held.transfer)
 
-    def give(self, message: messages.AskTransfer) -> None:
-        """Debit this holder and send the money, or what there is of it."""
+    def give(
+        self,
+        message: messages.AskTransfer,
+        until: float | None = None,
+    ) -> None:
+        """
+        Debit this holder and send the money, or what there is of it.
+
+        :param until: local clock time to which the question stands.
+        """
         tables = self._tables
         now = self._context.clock.now()
         name = message.transfer_id
@@ -95,6 +108,10 @@
         room = state.available(tables.holder) - self._own_need(message)
         tokens = min(message.tokens, room)
         if tokens <= 0:
+            self._standing[message.budget, message.receiver] = (
+                message,
+                now + STANDING_S if until is None else until,
+            )
             return
         tables.seen_transfers[name] = now
         state.moved -= tokens
@@ -120,6 +137,15 @@
         )
         self._send(name, transfer)
 
+    def give_standing(self) -> None:
+        """Serve recent questions for which there was no money before."""
+        now = self._context.clock.now()
+        asks = self._standing
+        self._standing = {}
+        for message, until in asks.values():
+            if now < until:
+                self.give(message, until)
+
     def take(self, message: messages.TransferGrant) -> None:
         """Credit a transfer once and acknowledge every copy of it."""
         tables = self._tables
@@ -179,18 +205,24 @@
         """
         Return what waiting requests of this holder come first with.
 
-        Of two holders that are both short, one yields, so that the parts
-        come together in one place.
+        Of two holders that are both short, the one that is shorter yields,
+        so that the parts come together in one place.
         """
         own = self._tables.holder
-        first = rank(message.budget, (own, message.receiver))[0]
-        if first != own:
-            return 0
-        return sum(
+        needed = sum(
             row.message.tokens
             for row in self._tables.waiting.values()
             if row.message.budget == message.budget
         )
+        state = self._tables.budget(
+            message.budget,
+            self._context.clock.now(),
+        )
+        short = needed - state.available(own)
+        first = rank(message.budget, (own, message.receiver))[0]
+        # The smaller need comes first: its request is served sooner.
+        yields = message.tokens < short or first != own
+        return 0 if yields and message.tokens <= short else needed
 
     def _givers(
         self,
--- a/fuchsiafork/budgets/writes.py
+++ b/fuchsiafork/budgets/writes.py
@@ -8,6 +8,8 @@
 # Below this excess over its share a holder keeps its grant: moving small
 # amounts to and fro costs writes.
 RETURN_FACTOR = 1.25
+# Demand that a holder keeps money for when nothing is known of the rest.
+HORIZON_S = 30
 # A forecast takes at most this part of what is free in one write, so that
 # the first holder to write does not take all.
 FORECAST_PART = 2
@@ -39,11 +41,14 @@
     :ivar least: grant below which it cannot go, for it has promised that.
     :ivar need: grant that the requests waiting now need.
     :ivar rate: its forecast of demand, tokens a second.
+    :ivar base: it is its domain's first holder of the budget, and keeps
+        the domain's part of what no forecast asks for.
     """
 
     least: int
     need: int
     rate: int
+    base: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,7 +102,7 @@
     _close(changed, write)
     for name, want in write.wants.items():
         if name in changed.budgets:
-            _adjust(changed.budgets[name], write.holder, want)
+            _adjust(changed, changed.budgets[name], write.holder, want)
     _prune(changed, write.wall)
     ledger.check_record(changed)
     return changed
@@ -169,13 +174,45 @@
             grants[holder] = tokens
 
 
-def _adjust(row: ledger.BudgetRow, holder: str, want: Want) -> None:
+def _share(
+    record: ledger.Record,
+    row: ledger.BudgetRow,
+    holder: str,
+    want: Want,
+) -> int:
+    """
+    Return a holder's share of what is unspent.
+
+    What the forecasts need comes first. The rest is split equally between
+    the failure domains, for a domain that is cut off cannot get more when
+    its demand rises.
+    """
+    unspent = row.prepaid - row.settled - row.duplicate
+    total = sum(row.rates.values())
+    surplus = unspent - total * HORIZON_S
+    if surplus <= 0:
+        return unspent * want.rate // total
+    domains = {
+        record.holders[name].domain
+        for name in row.rates
+        if name in record.holders
+    }
+    part = surplus // len(domains) if want.base and domains else 0
+    return want.rate * HORIZON_S + part
+
+
+def _adjust(
+    record: ledger.Record,
+    row: ledger.BudgetRow,
+    holder: str,
+    want: Want,
+) -> None:
     """Bring a holder's grant towards its share of what is unspent."""
     grant = row.grants.get(holder, 0)
     row.rates[holder] = want.rate
-    unspent = row.free + sum(held for held in row.grants.values() if held > 0)
-    total = sum(row.rates.values())
-    share = unspent * want.rate // total if total else 0
+    if not want.rate and not want.base:
+        row.rates.pop(holder)
+    share = _share(record, row, holder, want)
     goal = max(want.least, want.need, share)
     if grant < goal:
         least = max(want.least, want.need) - grant
