Validate, store and spread the configuration document

A team replaces its sections against the digests it last saw; an unanswered write is recognised by its change id in the head. ConfigurationSystem reads the head once a second where it is the domain's turn and fetches from peers elsewhere.

--- a/fuchsiafork/configuration/__init__.py
+++ b/fuchsiafork/configuration/__init__.py
@@ -1,21 +1,33 @@
-"""The operators' configuration document."""
+"""The operators' configuration document, its store and its spread."""
 
+from fuchsiafork.configuration.copy import ConfigurationCopy
 from fuchsiafork.configuration.document import (
     Account,
     Budget,
     Document,
+    Kind,
     Pool,
     Rollout,
     Route,
     Target,
     Version,
 )
+from fuchsiafork.configuration.head import HEAD_KEY, Change, Head
 from fuchsiafork.configuration.parsing import parse_document
+from fuchsiafork.configuration.store import ConfigurationStore
+from fuchsiafork.configuration.system import ConfigurationSystem
 
 __all__ = (
+    'HEAD_KEY',
     'Account',
     'Budget',
+    'Change',
+    'ConfigurationCopy',
+    'ConfigurationStore',
+    'ConfigurationSystem',
     'Document',
+    'Head',
+    'Kind',
     'Pool',
     'Rollout',
     'Route',
--- a/fuchsiafork/configuration/document.py
+++ b/fuchsiafork/configuration/document.py
@@ -20,6 +20,11 @@
 ]
 
 
+# The largest whole number that every JSON reader keeps exactly.
+MAX_TOKENS = 2**53
+MAX_TIMEOUT_S = 86_400
+
+
 class Kind(enum.StrEnum):
     """What stands behind a pool."""
 
@@ -47,13 +52,14 @@
         later credit comes from ``fuchsiafork budget top-up``.
     """
 
-    opening_tokens: pydantic.NonNegativeInt = 0
+    opening_tokens: Annotated[int, pydantic.Field(ge=0, le=MAX_TOKENS)] = 0
 
 
 class Account(Section):
     """
     A client account.
 
+    :ivar budget: budget that its requests draw on.
     :ivar token_sha256: digest of its bearer token, hexadecimal.
     :ivar priority: 0 is served first.
     :ivar routes: routes that it may use; empty for all.
@@ -69,6 +75,7 @@
     """
     Interchangeable targets in all failure domains.
 
+    :ivar kind: ``engine`` or ``service``.
     :ivar spill_share: share of a domain's slots that others may use.
     """
 
@@ -92,9 +99,12 @@
 
     pool: Name
     version: Name
-    max_output_tokens: pydantic.PositiveInt = 1024
-    tokens_per_call: pydantic.NonNegativeInt = 1
-    timeout_s: pydantic.PositiveFloat = 120
+    max_output_tokens: Annotated[
+        int,
+        pydantic.Field(gt=0, le=1_000_000),
+    ] = 1024
+    tokens_per_call: Annotated[int, pydantic.Field(ge=0, le=MAX_TOKENS)] = 1
+    timeout_s: Annotated[float, pydantic.Field(gt=0, le=MAX_TIMEOUT_S)] = 120
     idempotent_methods: Annotated[
         tuple[str, ...],
         pydantic.BeforeValidator(
@@ -112,6 +122,7 @@
     """
     A version of what a pool's targets run.
 
+    :ivar pool: pool whose targets can run it.
     :ivar artifact: name of the weights or build that an order loads.
     """
 
@@ -124,6 +135,8 @@
     A back end.
 
     :ivar url: ``http://ip:port``.
+    :ivar domain: failure domain of the target.
+    :ivar version: version that it runs, or is to run.
     :ivar capacity: requests that it can hold at once.
     :ivar fenced: whether it refuses orders with an old fencing number.
     :ivar drain_at: time from which it gets no new work.
@@ -132,7 +145,7 @@
     url: Annotated[str, pydantic.Field(pattern=r'^http://[^/\s]+$')]
     domain: Name
     version: Name
-    capacity: pydantic.PositiveInt
+    capacity: Annotated[int, pydantic.Field(gt=0, le=10_000)]
     fenced: bool = False
     drain_at: pydantic.AwareDatetime | None = None
 
@@ -141,6 +154,13 @@
     """
     A move of a route from one version to another.
 
+    :ivar route: route that moves.
+    :ivar old: version that it leaves.
+    :ivar new: version that it moves to.
+    :ivar start: time from which the new version may get requests.
+    :ivar deadline: time by which all requests go to the new version.
+    :ivar max_error_share: share of failed requests of a good version.
+    :ivar max_slowdown: factor by which a good version may be slower.
     :ivar take_back: set by an operator to end it by hand.
     """
 
--- a/fuchsiafork/configuration/parsing.py
+++ b/fuchsiafork/configuration/parsing.py
@@ -1,50 +1,21 @@
 """Reads the INI form of the configuration document."""
 
 import configparser
-import dataclasses
+import functools
+import hashlib
 from typing import Any
 
 import pydantic
 
 from fuchsiafork.configuration.document import Document
-from fuchsiafork.kernel.errors import ConfigurationError
-
-_TABLES = {
-    'budget': 'budgets',
-    'account': 'accounts',
-    'pool': 'pools',
-    'route': 'routes',
-    'version': 'versions',
-    'target': 'targets',
-    'rollout': 'rollouts',
-}
-
-# Field of a section -> table that must hold the name it gives.
-_REFERENCES = (
-    ('accounts', 'budget', 'budgets'),
-    ('accounts', 'routes', 'routes'),
-    ('routes', 'pool', 'pools'),
-    ('routes', 'version', 'versions'),
-    ('versions', 'pool', 'pools'),
-    ('targets', 'version', 'versions'),
-    ('rollouts', 'route', 'routes'),
-    ('rollouts', 'old', 'versions'),
-    ('rollouts', 'new', 'versions'),
+from fuchsiafork.configuration.problems import Problem, to_error
+from fuchsiafork.configuration.rules import (
+    KIND_OF_TABLE,
+    broken_rules,
+    missing_references,
 )
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """One fault of a document, where it stands and why."""
-
-    file: str
-    section: str
-    key: str
-    reason: str
-
-    def __str__(self) -> str:
-        """Return the fault on one line."""
-        return f'{self.file}: [{self.section}] {self.key}: {self.reason}'
+_TABLES = {kind: table for table, kind in KIND_OF_TABLE.items()}
 
 
 def parse_document(text: str, file: str = 'configuration') -> Document:
@@ -57,22 +28,40 @@
     try:
         document = Document.model_validate(raw)
     except pydantic.ValidationError as error:
-        raise _to_error([
-            _to_problem(file, fault) for fault in error.errors()
-        ]) from None
-    problems = _check_references(document, file)
-    if problems:
-        raise _to_error(problems)
+        problems = [_to_problem(file, fault) for fault in error.errors()]
+        raise to_error(problems) from None
+    faults = list(missing_references(document))
+    faults = faults or list(broken_rules(document))
+    if faults:
+        raise to_error(Problem(file, *fault) for fault in faults)
     return document
 
 
-def _read_sections(text: str, file: str) -> dict[str, Any]:
-    """Return the sections by table and name."""
-    parser = configparser.ConfigParser(interpolation=None, strict=True)
+def read_ini(text: str, file: str) -> configparser.ConfigParser:
+    """
+    Return the parsed INI text.
+
+    :raises ConfigurationError: if it is not well formed.
+    """
+    # Keys keep their case, and no section gives defaults to the others.
+    parser = configparser.ConfigParser(interpolation=None, default_section='')
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
     try:
         parser.read_string(text, file)
     except configparser.Error as error:
-        raise ConfigurationError(f'{file}: {error}') from None
+        problem = _from_parser(error, file)
+        raise to_error([problem]) from None
+    return parser
+
+
+def digest_of(text: str) -> str:
+    """Return the digest of a text, hexadecimal."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _read_sections(text: str, file: str) -> dict[str, Any]:
+    """Return the sections by table and name."""
+    parser = read_ini(text, file)
     tables: dict[str, Any] = {}
     problems: list[Problem] = []
     for title in parser.sections():
@@ -83,40 +72,46 @@
         else:
             problems.append(Problem(file, title, '', 'unknown section'))
     if problems:
-        raise _to_error(problems)
+        raise to_error(problems)
     return tables
 
 
 def _to_problem(file: str, fault: Any) -> Problem:
     """Return a fault that pydantic found."""
     place = [str(part) for part in fault['loc']]
-    kinds = {table: kind for kind, table in _TABLES.items()}
-    section = f'{kinds.get(place[0], place[0])}:{"".join(place[1:2])}'
-    return Problem(file, section, '.'.join(place[2:]), fault['msg'])
+    kind = KIND_OF_TABLE.get(place[0], place[0])
+    section = f'{kind}:{"".join(place[1:2])}'
+    key = '.'.join(part for part in place[2:] if part != '[key]')
+    reason = fault['msg'].removeprefix('Value error, ')
+    if fault['type'] == 'extra_forbidden':
+        reason = 'unknown key'
+    return Problem(file, section, key, reason)
 
 
-def _check_references(document: Document, file: str) -> list[Problem]:
-    """Return the names that no section defines."""
-    kinds = {table: kind for kind, table in _TABLES.items()}
-    problems: list[Problem] = []
-    for table, field, other in _REFERENCES:
-        known = getattr(document, other)
-        for name, section in getattr(document, table).items():
-            given = getattr(section, field)
-            wanted = (given,) if isinstance(given, str) else given
-            problems.extend(
-                Problem(
-                    file,
-                    f'{kinds[table]}:{name}',
-                    field,
-                    f'no section [{kinds[other]}:{missing}]',
-                )
-                for missing in wanted
-                if missing not in known
-            )
-    return problems
-
-
-def _to_error(problems: list[Problem]) -> ConfigurationError:
-    """Return the error that lists the faults."""
-    return ConfigurationError('\n'.join(str(fault) for fault in problems))
+@functools.singledispatch
+def _from_parser(error: configparser.Error, file: str) -> Problem:
+    """Return a fault that the INI reader found."""
+    return Problem(file, '', '', error.message.replace('\n', ' '))
+
+
+@_from_parser.register
+def _(error: configparser.DuplicateSectionError, file: str) -> Problem:
+    reason = f'line {error.lineno}: section is there twice'
+    return Problem(file, str(error.section), '', reason)
+
+
+@_from_parser.register
+def _(error: configparser.DuplicateOptionError, file: str) -> Problem:
+    reason = f'line {error.lineno}: key is there twice'
+    return Problem(file, str(error.section), str(error.option), reason)
+
+
+@_from_parser.register
+def _(error: configparser.MissingSectionHeaderError, file: str) -> Problem:
+    return Problem(file, '', '', f'line {error.lineno}: no section header')
+
+
+@_from_parser.register
+def _(error: configparser.ParsingError, file: str) -> Problem:
+    lines = ', '.join(str(number) for number, _ in error.errors)
+    return Problem(file, '', '', f'line {lines}: neither a key nor a header')
--- /dev/null
+++ b/fuchsiafork/configuration/system.py
@@ -0,0 +1,263 @@
+"""Brings each new revision into force on every keeper."""
+
+import functools
+import itertools
+from typing import Any
+
+from fuchsiafork import messages
+from fuchsiafork.configuration.copy import ConfigurationCopy
+from fuchsiafork.configuration.head import (
+    HEAD_KEY,
+    PART_PREFIX,
+    Head,
+    decode_head,
+    join_parts,
+)
+from fuchsiafork.kernel import Context, System
+from fuchsiafork.kernel.errors import ConfigurationError
+from fuchsiafork.kernel.outbox import KeyRead, ReadKey, StoreFailed
+from fuchsiafork.membership import MembershipSystem
+
+# With a broken watch and a reader that died, 2 s pass until the next reader
+# is chosen; polls at this interval keep the sum under the 5 s of R9.
+POLL_INTERVAL_S = 1.0
+# A fetch or read without an answer is tried again after this time.
+RETRY_S = 0.5
+
+_HOME_KEY = 'configuration'
+_HEAD_TAG = 'configuration:head'
+_PART_TAG = 'configuration:part:'
+
+
+class ConfigurationSystem(System):
+    """Reads the head where it is this keeper's turn; else asks peers."""
+
+    accepts = (
+        messages.ConfigurationOffer,
+        messages.FetchConfiguration,
+        messages.ConfigurationDocument,
+    )
+
+    def __init__(
+        self,
+        context: Context,
+        membership: MembershipSystem,
+        copy: ConfigurationCopy | None = None,
+    ) -> None:
+        """Start without a configuration; the membership spreads revisions."""
+        super().__init__(context)
+        self.copy = copy or ConfigurationCopy()
+        self._membership = membership
+        self._next_poll = 0.0
+        self._next_fetch = 0.0
+        self._wanted: Head | None = None
+        self._parts: dict[str, bytes] = {}
+        self._last_invalid = (0, '')
+
+    @property
+    def reads_head(self) -> bool:
+        """Whether it is this keeper's turn to read and watch the head."""
+        first = self._membership.homes(_HOME_KEY)[0]
+        return first == self._context.identity.node
+
+    @functools.singledispatchmethod
+    def handle(self, message: Any, sender: str) -> None:
+        """Take one message or store answer."""
+
+    @handle.register
+    def _(self, message: messages.ConfigurationOffer, sender: str) -> None:
+        self._check_unique(message.revision, message.digest)
+        if self.copy.wants(message.revision, message.digest):
+            self._fetch(sender)
+
+    @handle.register
+    def _(self, message: messages.FetchConfiguration, sender: str) -> None:
+        if message.revision < self.copy.revision:
+            self._context.outbox.send(
+                sender,
+                messages.ConfigurationDocument(
+                    self.copy.revision,
+                    self.copy.digest,
+                    self.copy.text,
+                ),
+            )
+
+    @handle.register
+    def _(self, message: messages.ConfigurationDocument, sender: str) -> None:
+        self._adopt(message.revision, message.digest, message.text, sender)
+
+    @handle.register
+    def _(self, message: KeyRead, sender: str) -> None:
+        if message.tag == _HEAD_TAG:
+            self._take_head(message.value)
+        elif message.tag.startswith(_PART_TAG):
+            self._take_part(message)
+
+    @handle.register
+    def _(self, message: StoreFailed, sender: str) -> None:
+        # The next poll starts from the head again.
+        self._wanted = None
+
+    def tick(self) -> None:
+        """Read the head and ask peers that are ahead, when due."""
+        now = self._context.clock.now()
+        if now >= self._next_poll and self.reads_head:
+            self._read_head()
+        if now >= self._next_fetch:
+            ahead = self._members_ahead()
+            if ahead:
+                self._fetch(self._context.random.choice(ahead))
+
+    def head_changed(self, revision: int) -> None:
+        """
+        Read the head at once, as a watch saw it change.
+
+        :param revision: the head's revision in the key-value service.
+        """
+        self._context.events.record('configuration_seen', at=revision)
+        self._read_head()
+
+    def _read_head(self) -> None:
+        """Start a read of the head; an earlier one is given up."""
+        self._next_poll = self._context.clock.now() + POLL_INTERVAL_S
+        self._context.outbox.store(ReadKey(HEAD_KEY, _HEAD_TAG))
+
+    def _take_head(self, raw: bytes | None) -> None:
+        """Ask for the parts that a newer head names."""
+        try:
+            head = decode_head(raw)
+        except ConfigurationError as error:
+            self._record_invalid(0, str(error))
+            return
+        self._check_unique(head.revision, head.digest)
+        if not self.copy.wants(head.revision, head.digest):
+            return
+        self._wanted = head
+        kept = self._parts
+        self._parts = {name: kept[name] for name in head.parts if name in kept}
+        for name in head.parts:
+            if name not in self._parts:
+                tag = f'{_PART_TAG}{name}'
+                key = f'{PART_PREFIX}{name}'
+                self._context.outbox.store(ReadKey(key, tag))
+        self._finish_read()
+
+    def _take_part(self, message: KeyRead) -> None:
+        """Keep a part of the wanted head."""
+        head = self._wanted
+        name = message.tag.removeprefix(_PART_TAG)
+        if head is None or name not in head.parts:
+            return
+        if message.value is None:
+            # A head without its part is read again at the next poll.
+            self._wanted = None
+            return
+        self._parts[name] = message.value
+        self._finish_read()
+
+    def _finish_read(self) -> None:
+        """Adopt the wanted head when all its parts are there."""
+        head = self._wanted
+        if head is None or set(head.parts) - set(self._parts):
+            return
+        self._wanted = None
+        try:
+            text = join_parts(head, self._parts)
+        except ConfigurationError as error:
+            self._parts = {}
+            self._record_invalid(head.revision, str(error))
+            return
+        node = self._context.identity.node
+        self._adopt(head.revision, head.digest, text, node)
+
+    def _adopt(
+        self,
+        revision: int,
+        digest: str,
+        text: str,
+        source: str,
+    ) -> None:
+        """Bring a revision into force, if it is newer and valid."""
+        try:
+            adopted = self.copy.adopt(revision, digest, text)
+        except ConfigurationError as error:
+            self._record_invalid(revision, str(error))
+            return
+        if adopted:
+            self._membership.revision = revision
+            self._context.events.record(
+                'configuration_in_force',
+                revision=revision,
+                source=source,
+            )
+            self._offer(source)
+
+    def _offer(self, source: str) -> None:
+        """
+        Tell the local routers, and the own domain on news from outside.
+
+        A revision from a keeper of the own domain is not offered on, since
+        that keeper told the others itself; heartbeats cover a lost offer.
+        """
+        offer = messages.ConfigurationOffer(
+            self.copy.revision,
+            self.copy.digest,
+        )
+        nodes = set(self._membership.local_routers)
+        neighbours = set(self._membership.live())
+        own = self._context.identity.node
+        if source == own or source not in neighbours:
+            nodes |= neighbours
+        for node in sorted(nodes - {own, source}):
+            self._context.outbox.send(node, offer)
+
+    def _fetch(self, peer: str) -> None:
+        """Ask a peer for its revision, one question at a time."""
+        now = self._context.clock.now()
+        if now >= self._next_fetch:
+            self._next_fetch = now + RETRY_S
+            self._context.outbox.send(
+                peer,
+                messages.FetchConfiguration(self.copy.revision),
+            )
+
+    def _members_ahead(self) -> list[str]:
+        """Return live keepers with a newer revision, own domain first."""
+        own = self._context.identity.domain
+        ahead = {
+            domain: [node for node in self._others(domain) if self._ahead(node)]
+            for domain in self._membership.domains()
+        }
+        return ahead[own] or list(itertools.chain(*ahead.values()))
+
+    def _others(self, domain: str) -> list[str]:
+        """Return the live keepers of a domain but this one."""
+        own = self._context.identity.node
+        return [node for node in self._membership.live(domain) if node != own]
+
+    def _ahead(self, node: str) -> bool:
+        """Return whether a keeper has a revision that is worth a fetch."""
+        revision = self._membership.members[node].revision
+        newer = revision > self.copy.revision
+        return newer and revision not in self.copy.rejected
+
+    def _check_unique(self, revision: int, digest: str) -> None:
+        """Check that one revision is one document in the whole fleet."""
+        self._context.invariants.check(
+            'configuration_revision_unique',
+            revision != self.copy.revision
+            or not self.copy.ready
+            or digest == self.copy.digest,
+            revision=revision,
+        )
+
+    def _record_invalid(self, revision: int, reason: str) -> None:
+        """Record a document that cannot come into force, once."""
+        if (revision, reason) == self._last_invalid:
+            return
+        self._last_invalid = (revision, reason)
+        self._context.events.record(
+            'configuration_invalid',
+            revision=revision,
+            reason=reason,
+        )
--- /dev/null
+++ b/tests/test_configuration_spread.py
@@ -0,0 +1,331 @@
+"""Tests of the configuration's spread over a virtual fleet."""
+
+import random
+import unittest
+
+from fuchsiafork import messages
+from fuchsiafork.configuration import (
+    ConfigurationCopy,
+    ConfigurationStore,
+    ConfigurationSystem,
+    head,
+)
+from fuchsiafork.keeper.node import KeeperNode
+from fuchsiafork.kernel import (
+    Context,
+    EventRing,
+    HybridClock,
+    Identity,
+    InvariantViolationError,
+    Outbox,
+    StrictInvariants,
+)
+from fuchsiafork.membership import MembershipSystem
+from standins.store_model import StoreModel
+from standins.virtual import Faults, Scheduler, VirtualClock, VirtualNetwork
+from tests.test_configuration_store import (
+    ModelClient,
+    apply_sample,
+    budget,
+    change,
+)
+
+# R9: in force on all reachable nodes.
+BOUND_S = 5
+
+
+class RevertingCopy(ConfigurationCopy):
+    """A copy without the check on the revision, for the negative control."""
+
+    def wants(self, revision: int, digest: str) -> bool:
+        """Return True for every revision."""
+        return True
+
+
+class Fleet:
+    """Keepers of several failure domains over one store."""
+
+    def __init__(
+        self,
+        seed: int = 1,
+        domains: str = 'abc',
+        size: int = 3,
+        copy: type[ConfigurationCopy] = ConfigurationCopy,
+    ) -> None:
+        """Start all keepers; each knows the others."""
+        self.clock = VirtualClock()
+        self.scheduler = Scheduler(self.clock)
+        self.model = StoreModel(self.clock.now)
+        self.chance = random.Random(seed)
+        self.network = VirtualNetwork(
+            self.scheduler, self.model, self.chance, Faults()
+        )
+        self.operator = ConfigurationStore(ModelClient(self.model))
+        self.systems: dict[str, ConfigurationSystem] = {}
+        self.seen: dict[str, list[int]] = {}
+        self._copy = copy
+        self._starts = 0
+        for domain in domains:
+            for number in range(size):
+                self.start(f'{domain}-{number}/keeper')
+        for node in self.systems:
+            self.introduce(node)
+
+    def start(self, node: str) -> None:
+        """Start a keeper with nothing in memory."""
+        self._starts += 1
+        domain = node[0]
+        identity = Identity(node, domain, node[:3], f'i{self._starts}')
+        context = Context(
+            identity,
+            self.clock,
+            random.Random(self._starts),
+            Outbox(),
+            EventRing(HybridClock(node, self.clock)),
+            StrictInvariants(),
+        )
+        membership = MembershipSystem(context, f'{node}:1')
+        copy = self._copy()
+        system = ConfigurationSystem(context, membership, copy)
+        self.systems[node] = system
+        self.seen[node] = []
+        copy.subscribe(lambda _: self.seen[node].append(copy.revision))
+        keeper = KeeperNode(context, membership, [('configuration', system)])
+        self.network.add(node, domain, keeper)
+        self.network.every(node, 0.1)
+
+    def introduce(self, node: str) -> None:
+        """Make a keeper known to all others, as its links do."""
+        for other in self.systems:
+            if other != node:
+                membership = self.systems[other]._membership
+                beat = self.systems[node]._membership._heartbeat(0)
+                membership.handle(beat, node)
+
+    def restart(self, node: str) -> None:
+        """Replace a keeper by one that knows nothing."""
+        self.network.kill(node)
+        self.start(node)
+        self.introduce(node)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.scheduler.run_until(self.clock.now() + seconds)
+
+    def revisions(self, but: str = ' ') -> set[int]:
+        """Return the revisions in force outside a domain."""
+        return {
+            system.copy.revision
+            for node, system in self.systems.items()
+            if node in self.network.endpoints and node[0] != but
+        }
+
+    def reader(self, domain: str) -> str:
+        """Return the keeper that reads the head for a domain."""
+        return next(
+            node
+            for node, system in self.systems.items()
+            if node[0] == domain and system.reads_head
+        )
+
+    def reverts(self) -> list[str]:
+        """Return the keepers on which a revision did not rise."""
+        return [
+            node
+            for node, seen in self.seen.items()
+            if seen != sorted(set(seen))
+        ]
+
+
+class TestSpread(unittest.TestCase):
+    """R9 under faults."""
+
+    def test_in_force_everywhere_within_bound(self) -> None:
+        """Guards against a node that misses a change in ordinary faults."""
+        for seed in range(5):
+            fleet = Fleet(seed, 'abcd', 6)
+            fleet.network.faults.drop = 0.05
+            fleet.network.faults.duplicate = 0.05
+            fleet.network.faults.store_lost_answer = 0.1
+            apply_sample(fleet.operator)
+            for number in range(6):
+                fleet.run(BOUND_S)
+                self.assertEqual(fleet.revisions(), {number + 1}, f'{seed=}')
+                name = f'b{number}'
+                fleet.operator.apply(change(name), budget(name))
+            self.assertEqual(fleet.reverts(), [])
+
+    def test_dead_reader_is_replaced_within_bound(self) -> None:
+        """Guards against a change that waits for a dead keeper."""
+        fleet = Fleet()
+        apply_sample(fleet.operator)
+        fleet.run(BOUND_S)
+        for domain in 'abc':
+            fleet.network.kill(fleet.reader(domain))
+        fleet.operator.apply(change('c2'), budget('b2'))
+        fleet.run(BOUND_S)
+        self.assertEqual(fleet.revisions(), {2})
+
+    def test_watch_shortens_the_way(self) -> None:
+        """Guards against a watch that has no effect."""
+        fleet = Fleet()
+        fleet.run(1)
+        apply_sample(fleet.operator)
+        for domain in 'abc':
+            reader = fleet.reader(domain)
+            fleet.systems[reader].head_changed(1)
+            fleet.network.flush(reader)
+        fleet.run(0.1)
+        self.assertEqual(fleet.revisions(), {1})
+
+    def test_cut_domain_keeps_its_revision_and_catches_up(self) -> None:
+        """Guards against a domain that reverts or stays behind."""
+        fleet = Fleet()
+        apply_sample(fleet.operator)
+        fleet.run(BOUND_S)
+        fleet.network.isolate('a')
+        fleet.operator.apply(change('c2'), budget('b2'))
+        fleet.run(BOUND_S)
+        self.assertEqual(fleet.revisions(but='a'), {2})
+        self.assertEqual(fleet.systems['a-0/keeper'].copy.revision, 1)
+        fleet.network.heal()
+        fleet.run(BOUND_S)
+        self.assertEqual(fleet.revisions(), {2})
+
+    def test_domain_without_store_learns_from_the_others(self) -> None:
+        """Guards against a domain that needs the platform for a change."""
+        fleet = Fleet()
+        fleet.network.cut_from_store.add('a')
+        apply_sample(fleet.operator)
+        fleet.run(BOUND_S)
+        self.assertEqual(fleet.revisions(), {1})
+
+    def test_restart_in_an_outage_asks_peers(self) -> None:
+        """Guards against a VM that cannot start while the store is down."""
+        fleet = Fleet()
+        fleet.network.faults.store_down = True
+        fleet.run(BOUND_S)
+        self.assertFalse(fleet.systems['a-0/keeper'].copy.ready)
+        fleet.network.faults.store_down = False
+        apply_sample(fleet.operator)
+        fleet.run(BOUND_S)
+        fleet.network.faults.store_down = True
+        for number in range(3):
+            fleet.restart(f'a-{number}/keeper')
+        self.assertEqual(fleet.revisions(), {0, 1})
+        fleet.run(BOUND_S)
+        self.assertEqual(fleet.revisions(), {1})
+
+    def test_random_faults_never_revert(self) -> None:
+        """Guards against an old revision that comes back."""
+        for seed in range(10):
+            fleet = Fleet(seed)
+            apply_sample(fleet.operator)
+            for number in range(12):
+                self.disturb(fleet)
+                name = f'b{number}'
+                fleet.operator.apply(change(name), budget(name))
+                fleet.run(fleet.chance.uniform(0, 4))
+            fleet.network.heal()
+            fleet.network.faults = Faults()
+            for node in tuple(fleet.network.paused):
+                fleet.network.resume(node)
+            fleet.run(BOUND_S)
+            self.assertEqual(fleet.reverts(), [], f'{seed=}')
+            self.assertEqual(fleet.revisions(), {13}, f'{seed=}')
+
+    def disturb(self, fleet: Fleet) -> None:
+        """Change at random what goes wrong."""
+        network, chance = fleet.network, fleet.chance
+        node = chance.choice(sorted(fleet.systems))
+        if node in network.paused:
+            network.resume(node)
+        elif chance.random() < 0.3:
+            network.pause(node)
+        elif chance.random() < 0.5:
+            fleet.restart(node)
+        network.heal()
+        if chance.random() < 0.5:
+            network.isolate(chance.choice('abc'))
+        network.faults = Faults(
+            drop=chance.uniform(0, 0.3),
+            duplicate=chance.uniform(0, 0.3),
+            delay_s=(0.001, chance.uniform(0.01, 3)),
+            store_delay_s=(0.001, chance.uniform(0.01, 2)),
+            store_lost_answer=chance.uniform(0, 0.3),
+            store_down=chance.random() < 0.3,
+        )
+
+
+class TestRefusals(unittest.TestCase):
+    """What must not come into force."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(domains='a', size=1)
+        apply_sample(self.fleet.operator)
+        self.fleet.run(2)
+        self.system = self.fleet.systems['a-0/keeper']
+
+    def store_head(self, stored: head.Head, part: bytes | None) -> None:
+        """Write a head behind the operators' program."""
+        if part is not None:
+            name = head.part_digest(part)
+            self.fleet.model.swap(f'{head.PART_PREFIX}{name}', 0, part)
+        revision = self.fleet.model.rows[head.HEAD_KEY].revision
+        self.fleet.model.swap(head.HEAD_KEY, revision, stored.encode())
+
+    def kinds(self) -> list[str]:
+        """Return the kinds of events so far."""
+        return [
+            event.kind
+            for event in self.system._context.events.since(0)
+            if event.kind.startswith('configuration')
+        ]
+
+    def test_invalid_document_is_reported_once_and_left_out(self) -> None:
+        """Guards against a keeper that adopts or chokes on it."""
+        part = b'[pool:x]\nowner = x\n'
+        name = head.part_digest(part)
+        self.store_head(head.Head(2, name, (name,), ()), part)
+        self.fleet.run(BOUND_S)
+        self.assertEqual(self.system.copy.revision, 1)
+        self.assertEqual(self.kinds().count('configuration_invalid'), 1)
+        self.assertIn('delta', self.system.copy.document.accounts)
+
+    def test_torn_head_waits_for_its_parts(self) -> None:
+        """Guards against a document with a part left out."""
+        part = b'[budget:x]\nowner = x\n'
+        name = head.part_digest(part)
+        self.store_head(head.Head(2, name, (name,), ()), None)
+        self.fleet.run(BOUND_S)
+        self.assertEqual(self.system.copy.revision, 1)
+        self.fleet.model.swap(f'{head.PART_PREFIX}{name}', 0, part)
+        self.fleet.run(BOUND_S)
+        self.assertEqual(self.system.copy.revision, 2)
+
+    def test_older_head_does_not_revert(self) -> None:
+        """Guards against a service that was set back."""
+        copy = self.system.copy
+        old = (copy.revision, copy.digest, copy.text)
+        self.fleet.operator.apply(change('c2'), budget('b2'))
+        self.fleet.run(2)
+        self.system.handle(messages.ConfigurationDocument(*old), 'a-9/keeper')
+        self.assertEqual(copy.revision, 2)
+        wrong = messages.ConfigurationDocument(3, old[1], 'x')
+        self.system.handle(wrong, 'a-9/keeper')
+        self.assertEqual(copy.revision, 2)
+
+    def test_two_documents_under_one_revision_are_noticed(self) -> None:
+        """Guards against a fleet that is split over one revision."""
+        offer = messages.ConfigurationOffer(1, 'f' * 64)
+        with self.assertRaises(InvariantViolationError):
+            self.system.handle(offer, 'a-9/keeper')
+
+    def test_check_on_reverts_can_fail(self) -> None:
+        """Negative control: without the rule, the check fires."""
+        fleet = Fleet(domains='a', size=1, copy=RevertingCopy)
+        apply_sample(fleet.operator)
+        fleet.run(2)
+        copy = fleet.systems['a-0/keeper'].copy
+        copy.adopt(copy.revision, copy.digest, copy.text)
+        self.assertEqual(fleet.reverts(), ['a-0/keeper'])
--- /dev/null
+++ b/tests/test_configuration_store.py
@@ -0,0 +1,227 @@
+"""Tests of the stored document: parts, head, races and lost answers."""
+
+import functools
+import random
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from fuchsiafork.configuration import ConfigurationStore, head, sections
+from fuchsiafork.kernel.errors import (
+    ConfigurationConflictError,
+    ConfigurationError,
+    StoreUnavailableError,
+)
+from fuchsiafork.kernel.outbox import CompareAndSwap
+from standins.store_model import StoreModel
+from standins.virtual import VirtualClock, apply_operation, failed
+from tests.test_configuration import SAMPLE
+
+
+class ModelClient:
+    """Runs operations on the model, with faults set by the test."""
+
+    def __init__(self, model: StoreModel) -> None:
+        """Start without faults."""
+        self.model = model
+        self.down = False
+        self.lose: Callable[[str], bool] = lambda key: False
+        self.before_swap: Callable[[str], None] = lambda key: None
+
+    def execute(self, operation: Any) -> Any:
+        """Return the answer of an operation."""
+        if self.down:
+            return failed(operation, unknown=False)
+        writes = isinstance(operation, CompareAndSwap)
+        if writes:
+            self.before_swap(operation.key)
+        answer = apply_operation(operation, self.model)
+        if writes and self.lose(operation.key):
+            return failed(operation, unknown=True)
+        return answer
+
+
+def change(name: str, owner: str = 'money') -> head.Change:
+    """Return a change by an owner."""
+    return head.Change(name, owner, 'tester', 1_800_000_000)
+
+
+def put(title: str, text: str) -> Callable[..., sections.Sections]:
+    """Return an edit that sets one section."""
+    return lambda present: {**present, title: text}
+
+
+def budget(name: str) -> Callable[..., sections.Sections]:
+    """Return an edit that adds a budget."""
+    return put(f'budget:{name}', f'[budget:{name}]\nowner = money\n')
+
+
+def apply_sample(store: ConfigurationStore, name: str = 'first') -> None:
+    """Apply the sample document."""
+    store.apply(change(name), lambda _: sections.split_sections(SAMPLE))
+
+
+def lost(chance: random.Random, key: str) -> bool:
+    """Return whether an answer is lost."""
+    return chance.random() < 0.4
+
+
+class StoreCase(unittest.TestCase):
+    """Base with one operator."""
+
+    def setUp(self) -> None:
+        self.model = StoreModel(VirtualClock().now)
+        self.client = ModelClient(self.model)
+        self.store = ConfigurationStore(self.client)
+
+
+class TestParts(StoreCase):
+    """The document under its bound for a value."""
+
+    def test_large_document_is_cut_and_mostly_reused(self) -> None:
+        """Guards against values over the bound, or all written again."""
+        rest = f'owner = money\n#{"x" * 99}\n'
+        titles = [f'budget:b{number}' for number in range(12_000)]
+        many = {title: f'[{title}]\n{rest}' for title in titles}
+        self.store.apply(change('c1'), lambda _: many)
+        first = self.store.read()
+        self.assertEqual(first.sections, many)
+        sizes = [
+            len(row.value)
+            for key, row in self.model.rows.items()
+            if key.startswith(head.PART_PREFIX)
+        ]
+        self.assertGreater(len(sizes), 2)
+        self.assertLessEqual(max(sizes), 512 * 1024)
+        self.store.apply(change('c2'), budget('b7'))
+        second = self.store.read().head
+        fresh = set(second.parts) - set(first.head.parts)
+        self.assertLessEqual(len(fresh), 2)
+        with self.assertRaisesRegex(ConfigurationError, 'over 524288 bytes'):
+            head.split_parts({'budget:b': 'x' * 524_289})
+
+    def test_torn_or_malformed_head_is_an_error(self) -> None:
+        """Guards against a document put together from other parts."""
+        apply_sample(self.store)
+        self.model.swap(head.HEAD_KEY, self.model.revision, b'{}')
+        with self.assertRaisesRegex(ConfigurationError, 'configuration/head'):
+            self.store.read()
+        wrong = head.Head(2, 'f' * 64, (), ())
+        with self.assertRaisesRegex(ConfigurationError, 'digest'):
+            head.join_parts(wrong, {})
+        with self.assertRaisesRegex(ConfigurationError, 'missing'):
+            head.join_parts(head.Head(2, '', ('x',), ()), {})
+
+
+class TestRaces(StoreCase):
+    """Two operators at once."""
+
+    def replace(
+        self, text: str, base: dict[str, str], present: sections.Sections
+    ) -> sections.Sections:
+        """Return the sections after the money team's replacement."""
+        wanted = sections.owned_by(sections.split_sections(SAMPLE), 'money')
+        wanted['budget:ovens'] = text
+        return sections.replace_owned(present, 'money', wanted, base)
+
+    def test_one_winner_and_one_conflict(self) -> None:
+        """Guards against two changes of which one is lost unseen."""
+        apply_sample(self.store)
+        seen = self.store.read().sections
+        base = sections.digests(sections.owned_by(seen, 'money'))
+        text = seen['budget:ovens']
+        mine = functools.partial(self.replace, text.replace('1000', '1'), base)
+        theirs = functools.partial(
+            self.replace, text.replace('1000', '2'), base
+        )
+        rival = ConfigurationStore(ModelClient(self.model))
+
+        def race(key: str) -> None:
+            if key == head.HEAD_KEY:
+                self.client.before_swap = lambda _: None
+                rival.apply(change('theirs'), theirs)
+
+        self.client.before_swap = race
+        with self.assertRaises(ConfigurationConflictError) as caught:
+            self.store.apply(change('mine'), mine)
+        self.assertIn('-opening_tokens = 2', str(caught.exception))
+        after = self.store.read()
+        self.assertEqual(after.head.revision, 2)
+        self.assertEqual(after.head.change_id, 'theirs')
+        self.assertIn('opening_tokens = 2', after.text)
+
+    def test_changes_of_two_teams_both_stand(self) -> None:
+        """Guards against a race over other sections that loses a change."""
+        apply_sample(self.store)
+        rival = ConfigurationStore(ModelClient(self.model))
+
+        def race(key: str) -> None:
+            if key == head.HEAD_KEY:
+                self.client.before_swap = lambda _: None
+                edit = put('version:a3', '[version:a3]\nowner=m\npool=orders\n')
+                rival.apply(change('theirs', 'models'), edit)
+
+        self.client.before_swap = race
+        edit = put('budget:b2', '[budget:b2]\nowner = money\n')
+        self.assertEqual(self.store.apply(change('mine'), edit).revision, 3)
+        self.assertIn('version:a3', self.store.read().sections)
+
+    def test_no_change_is_lost_or_doubled_with_lost_answers(self) -> None:
+        """Guards against a lost answer that is applied a second time."""
+        for seed in range(20):
+            chance = random.Random(seed)
+            self.setUp()
+            self.client.lose = functools.partial(lost, chance)
+            apply_sample(self.store)
+            for number in range(12):
+                self.store.apply(change(f'c{number}'), budget(f'b{number}'))
+            done = self.store.read()
+            ids = [row.change_id for row in done.head.changes]
+            self.assertEqual(len(ids), len(set(ids)), f'{seed=}')
+            self.assertEqual(done.head.revision, 13, f'{seed=}')
+
+
+class TestFailures(StoreCase):
+    """Changes that cannot be applied."""
+
+    def test_invalid_result_changes_nothing(self) -> None:
+        """Guards against a document that no keeper can bring into force."""
+        apply_sample(self.store)
+        before = dict(self.model.rows)
+        edit = put('pool:x', '[pool:x]\nowner = x\n')
+        with self.assertRaises(ConfigurationError):
+            self.store.apply(change('bad'), edit)
+        self.assertEqual(self.model.rows, before)
+
+    def test_outage_is_reported_and_the_id_can_be_used_again(self) -> None:
+        """Guards against a change made twice by an operator's retry."""
+        self.client.down = True
+        with self.assertRaises(StoreUnavailableError):
+            apply_sample(self.store)
+        self.client.down = False
+
+        def cut(key: str) -> bool:
+            self.client.down = key == head.HEAD_KEY
+            return self.client.down
+
+        self.client.lose = cut
+        with self.assertRaises(StoreUnavailableError):
+            apply_sample(self.store, 'again')
+        self.client.down = False
+        apply_sample(self.store, 'again')
+        self.assertEqual(self.store.read().head.revision, 1)
+
+    def test_constant_rivals_end_in_a_conflict(self) -> None:
+        """Guards against an operator's program that never ends."""
+        apply_sample(self.store)
+        rival = ConfigurationStore(ModelClient(self.model))
+        numbers = iter(range(99))
+
+        def race(key: str) -> None:
+            if key == head.HEAD_KEY:
+                name = f'r{next(numbers)}'
+                rival.apply(change(name), budget(name))
+
+        self.client.before_swap = race
+        with self.assertRaisesRegex(ConfigurationConflictError, '8 times'):
+            self.store.apply(change('mine'), dict)
