--- a/fuchsiafork/adapters/engine.py
+++ b/fuchsiafork/adapters/engine.py
@@ -1,4 +1,5 @@
-"""Client of the model engines' and services' own interfaces.
+"""
+Client of the model engines' and services' own interfaces.
 
 Requests of callers go through :mod:`fuchsiafork.adapters.target_call`; this
 module reads load, cache events and records, and gives orders.
@@ -18,15 +19,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestRecord:
-    """What a target says of a request.
+    """
+    What a target says of a request.
 
     :ivar state: ``unknown``, ``running``, ``done`` or ``cancelled``.
-    :ivar tokens: tokens it has counted for the request.
+    :ivar tokens: tokens it has counted for the request, None from a plain
+        service, which counts calls only.
+    :ivar memory_s: seconds since the target's start, which its records do
+        not outlive; 0 if it doesn't say.
     """
 
     request_id: str
     state: str
-    tokens: int
+    tokens: int | None
+    memory_s: float
 
 
 class EngineClient:
@@ -39,9 +45,11 @@
             retries=False,
         )
 
-    def load(self, target: str, url: str) -> LoadReport:
-        """Return the target's load report.
+    def load(self, target: str, url: str, asked_at: float) -> LoadReport:
+        """
+        Return the target's load report.
 
+        :param asked_at: the owner's clock, in seconds.
         :raises TargetFailedError: if it gives no valid answer.
         """
         body = self._get(f'{url}/load')
@@ -52,6 +60,7 @@
             ready=bool(body.get('ready', False)),
             running=int(body.get('running', 0)),
             capacity=int(body.get('capacity', 0)),
+            taken_at=asked_at,
         )
 
     def cache_events(self, target: str, url: str, after: int) -> CacheEvents:
@@ -68,10 +77,12 @@
     def record(self, url: str, request_id: str) -> RequestRecord:
         """Return the target's record of a request."""
         body = self._get(f'{url}/v1/requests/{request_id}')
+        tokens = body.get('tokens')
         return RequestRecord(
             request_id,
             str(body.get('state', 'unknown')),
-            int(body.get('tokens', 0)),
+            None if tokens is None else int(tokens),
+            float(body.get('memory_s', 0)),
         )
 
     def order(self, url: str, order: dict[str, Any]) -> dict[str, Any]:
--- a/fuchsiafork/adapters/target_call.py
+++ b/fuchsiafork/adapters/target_call.py
@@ -1,4 +1,5 @@
-"""One call to a target over a connection of its own.
+"""
+One call to a target over a connection of its own.
 
 A connection is never pooled: an answer that arrives late, after a time-out
 or a cancel, then has no connection on which it could reach another request.
@@ -56,7 +57,8 @@
         return {name.lower(): text for name, text in pairs}
 
     def connect(self) -> None:
-        """Open the connection.
+        """
+        Open the connection.
 
         :raises ConnectError: if the target can't be reached.
         """
@@ -74,7 +76,8 @@
         body: bytes,
         timeout_s: float,
     ) -> None:
-        """Send the request and read the answer's head.
+        """
+        Send the request and read the answer's head.
 
         :raises BrokenCallError: if the connection breaks or time runs out.
         """
@@ -94,7 +97,8 @@
             raise BrokenCallError(str(error)) from None
 
     def read(self, limit: int) -> bytes:
-        """Return the next bytes of the body, none at its end.
+        """
+        Return the next bytes of the body, none at its end.
 
         :raises BrokenCallError: if the body ends before it is whole.
         """
--- a/fuchsiafork/budgets/ledger.py
+++ b/fuchsiafork/budgets/ledger.py
@@ -1,7 +1,6 @@
 """The ledger record of a shard: prepaid, settled and granted tokens."""
 
 import dataclasses
-
 from typing import Any
 
 import cbor2
--- a/fuchsiafork/budgets/routers.py
+++ b/fuchsiafork/budgets/routers.py
@@ -1,6 +1,7 @@
 """What a keeper knows of the routers of its failure domain."""
 
 import dataclasses
+import math
 
 from fuchsiafork import messages
 from fuchsiafork.kernel import Context
@@ -67,9 +68,11 @@
         now = self._context.clock.now()
         started = now - report.age_s
         known = self.rows.get(report.router)
+        same_until = math.inf
         if known is not None and known.started:
-            if started > known.started + _SAME_START_S:
-                self.lost.append(known)
+            same_until = known.started + _SAME_START_S
+        if known is not None and started > same_until:
+            self.lost.append(known)
         self.rows[report.router] = RouterRow(report.router, started, now)
         # A router that was only paused is not lost.
         self.lost = [
--- a/fuchsiafork/budgets/sync.py
+++ b/fuchsiafork/budgets/sync.py
@@ -33,6 +33,7 @@
         """Start without any record."""
         self.openings: dict[str, int] = {}
         self.suspended = False
+        self.leaving = False
         self.closed_out = False
         self.is_lone: Callable[[], bool] = lambda: False
         self.is_base: Callable[[str], bool] = lambda budget: True
@@ -238,8 +239,9 @@
                 continue
             least = state.reserved + state.unwritten - settled[name]
             least -= state.moved - moved[name]
-            rate = int(state.forecast.rate(now))
-            base = self.is_base(name)
+            # A leaving holder keeps only what it has promised.
+            rate = 0 if self.leaving else int(state.forecast.rate(now))
+            base = not self.leaving and self.is_base(name)
             need = least + waiting[name]
             if base or rate or need or state.granted(self._tables.holder):
                 wants[name] = Want(max(0, least), need, rate, base)
--- a/fuchsiafork/budgets/writes.py
+++ b/fuchsiafork/budgets/writes.py
@@ -234,8 +234,8 @@
         record.transfers.pop(name)
 
 
-def _prune(record: ledger.Record, wall: int) -> None:
-    """Drop what no later write can ask for."""
+def _prune_grants(record: ledger.Record) -> None:
+    """Drop empty grants, and forecasts of closed holders."""
     for row in record.budgets.values():
         for holder in [*row.rates]:
             if holder in record.closed:
@@ -243,6 +243,11 @@
         for holder in [*row.grants]:
             if not row.grants[holder]:
                 row.grants.pop(holder)
+
+
+def _prune(record: ledger.Record, wall: int) -> None:
+    """Drop what no later write can ask for."""
+    _prune_grants(record)
     for name, transfer in [*record.transfers.items()]:
         if {transfer.giver, transfer.receiver} & record.closed.keys():
             # The other side of a written transfer is the closed one.
--- /dev/null
+++ b/fuchsiafork/keeper/program.py
@@ -0,0 +1,274 @@
+"""Composes a keeper process and runs it until it is told to stop."""
+
+import asyncio
+import random
+import secrets
+import signal
+import threading
+from typing import Any
+
+from fuchsiafork.adapters.engine import EngineClient
+from fuchsiafork.adapters.store import StoreClient
+from fuchsiafork.configuration import Document
+from fuchsiafork.keeper.composition import Systems, make_systems
+from fuchsiafork.keeper.metrics import KeeperMetrics
+from fuchsiafork.keeper.node import KeeperNode
+from fuchsiafork.keeper.polling import TargetPoller
+from fuchsiafork.keeper.records import RecordReader
+from fuchsiafork.keeper.runtime import KeeperRuntime, StoreExecutor
+from fuchsiafork.kernel import (
+    Context,
+    CountingInvariants,
+    EventRing,
+    HybridClock,
+    Identity,
+    Outbox,
+    SystemClock,
+)
+from fuchsiafork.links import Dialer, LinkHub, LinkServer
+from fuchsiafork.messages import Goodbye, Hello
+from fuchsiafork.observability.admin import AdminServer, Probe
+from fuchsiafork.observability.logs import event_logger
+from fuchsiafork.settings import KeeperSettings
+
+# Time for peers and routers to see that this keeper is leaving.
+LEAVE_WAIT_S = 1.5
+# Bound of the time in which routers end their requests and move away.
+ROUTERS_WAIT_S = 30.0
+HANDBACK_WAIT_S = 5.0
+_STEP_S = 0.1
+
+
+class KeeperProgram:
+    """One keeper process."""
+
+    def __init__(
+        self,
+        settings: KeeperSettings,
+        store: StoreExecutor | None = None,
+    ) -> None:
+        """Compose the process; nothing listens yet."""
+        clock = SystemClock()
+        vm, section = settings.vm, settings.keeper
+        self.identity = Identity(
+            node=f'{vm.name}/keeper',
+            domain=vm.domain,
+            vm=vm.name,
+            incarnation=secrets.token_hex(4),
+        )
+        self._settings = section
+        self._stamps = HybridClock(self.identity.node, clock)
+        log = event_logger(self.identity.node, vm.domain)
+        self.events = EventRing(self._stamps, log=log)
+        self.context = Context(
+            identity=self.identity,
+            clock=clock,
+            random=random.Random(secrets.randbits(64)),
+            outbox=Outbox(),
+            events=self.events,
+            invariants=CountingInvariants(log),
+        )
+        self.systems: Systems = make_systems(self.context, section.listen)
+        self.node = KeeperNode(
+            self.context,
+            self.systems.membership,
+            self.systems.named(),
+        )
+        self.hub = LinkHub(
+            self.identity,
+            self._hello(section.listen),
+            self._stamps,
+            lambda envelope: self.runtime.receive(envelope),
+        )
+        self._store = store or StoreClient(
+            settings.store.urls,
+            settings.store.timeout_s,
+        )
+        self.runtime = KeeperRuntime(
+            self.context,
+            self.node,
+            self.hub,
+            self._store,
+        )
+        self.metrics = KeeperMetrics(
+            self.systems.gauges,
+            self.hub.counters,
+            lambda: dict(self.context.invariants.violations),
+        )
+        self._admin = AdminServer(
+            *_split(section.admin),
+            Probe(
+                ready=self._is_ready,
+                status=self._status,
+                events=self.events,
+                registry=self.metrics.registry,
+            ),
+        )
+        self._stop = threading.Event()
+        self._ended = threading.Event()
+
+    @property
+    def admin_port(self) -> int:
+        """The port of the admin pages, once started."""
+        return self._admin.port
+
+    @property
+    def document(self) -> Document:
+        """The configuration in force."""
+        return self.systems.document
+
+    def run(self) -> int:
+        """Serve until SIGTERM or SIGINT and return the exit status."""
+        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stop.set())
+        asyncio.run(self.serve())
+        return 0
+
+    def start(self) -> None:
+        """Serve in a thread of its own."""
+        threading.Thread(
+            target=lambda: asyncio.run(self.serve()),
+            daemon=True,
+        ).start()
+
+    def stop(self, timeout_s: float = 10) -> None:
+        """Stop gracefully and wait for the end."""
+        self._stop.set()
+        self._ended.wait(timeout_s)
+
+    async def serve(self) -> None:
+        """Listen, link and tick until stopped."""
+        server = LinkServer(self.hub)
+        host, port = _split(self._settings.listen)
+        await server.start(host, port)
+        dialer = Dialer(self.hub, random.Random(secrets.randbits(64)))
+        self.hub.changed = self._note_links
+        self._admin.start()
+        self.events.record('keeper_started', listen=self._settings.listen)
+        tasks = [
+            asyncio.create_task(self.runtime.run(self._ended.is_set)),
+            asyncio.create_task(self._keep_dialing(dialer)),
+            asyncio.create_task(self._poll_targets()),
+        ]
+        while not self._stop.is_set():
+            await asyncio.sleep(_STEP_S)
+        await self._leave()
+        self._ended.set()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        dialer.stop()
+        await server.stop()
+        self.runtime.close()
+        self._admin.stop()
+
+    async def _leave(self) -> None:
+        """Hand over homes and hand back money, then say goodbye."""
+        membership = self.systems.membership
+        membership.leaving = True
+        self.events.record('keeper_leaving')
+        await asyncio.sleep(LEAVE_WAIT_S)
+        await self._wait_while(
+            lambda: bool(membership.local_routers),
+            ROUTERS_WAIT_S,
+        )
+        self.systems.hand_back()
+        await self._wait_while(self.systems.holds_money, HANDBACK_WAIT_S)
+        for node in tuple(membership.members):
+            self.context.outbox.send(
+                node,
+                Goodbye(self.identity.node, self.identity.incarnation),
+            )
+        self.runtime.flush()
+        await asyncio.sleep(_STEP_S)
+        self.events.record(
+            'keeper_left',
+            money_held=self.systems.holds_money(),
+        )
+
+    async def _wait_while(self, busy: Any, limit_s: float) -> None:
+        """Wait until something has ended, within a bound."""
+        deadline = self.context.clock.now() + limit_s
+        while busy() and self.context.clock.now() < deadline:
+            await asyncio.sleep(_STEP_S)
+
+    async def _keep_dialing(self, dialer: Dialer) -> None:
+        """Open links to configured peers and to members learned of."""
+        own = self._settings.listen
+        while not self._ended.is_set():
+            wanted = set(self._settings.peers)
+            wanted |= self.systems.membership.addresses()
+            for address in wanted - {own}:
+                dialer.want(address)
+            for address in dialer.wanted - wanted:
+                dialer.unwant(address)
+            await asyncio.sleep(_STEP_S)
+
+    async def _poll_targets(self) -> None:
+        """Read targets that this keeper is responsible for."""
+        engines = EngineClient()
+        poller = TargetPoller(
+            engines,
+            self.context.clock,
+            self.systems.owned_targets,
+            self._receive_local,
+        )
+        reader = RecordReader(
+            self.context,
+            engines,
+            self.systems.holder,
+            lambda: self.systems.document,
+            self._receive_local,
+        )
+        await asyncio.gather(
+            poller.run(self._ended.is_set),
+            reader.run(self._ended.is_set),
+        )
+
+    def _receive_local(self, message: Any) -> None:
+        """Hand a message that an adapter made to the node."""
+        own = self.identity.node
+        self.node.receive(message, own, own)
+        self.runtime.flush()
+
+    def _note_links(self) -> None:
+        """Take over which routers and keepers are linked."""
+        membership = self.systems.membership
+        membership.local_routers = {
+            link.hello.node
+            for link in self.hub.links.values()
+            if link.hello.role == 'router'
+        }
+        for link in self.hub.links.values():
+            if link.hello.role == 'keeper':
+                membership.introduce(link.hello)
+
+    def _hello(self, address: str) -> Hello:
+        """Return what this keeper says of itself on a new link."""
+        return Hello(
+            node=self.identity.node,
+            domain=self.identity.domain,
+            role='keeper',
+            incarnation=self.identity.incarnation,
+            address=address,
+            token=self._settings.token.get_secret_value(),
+        )
+
+    def _is_ready(self) -> bool:
+        """Return whether routers can work with this keeper."""
+        return self.systems.revision > 0 and not self._stop.is_set()
+
+    def _status(self) -> dict[str, Any]:
+        """Return facts for operators."""
+        return {
+            'node': self.identity.node,
+            'domain': self.identity.domain,
+            'incarnation': self.identity.incarnation,
+            'role': 'keeper',
+            'ready': self._is_ready(),
+            **self.systems.status(),
+        }
+
+
+def _split(address: str) -> tuple[str, int]:
+    """Return host and port of ``ip:port``."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
--- a/fuchsiafork/keeper/runtime.py
+++ b/fuchsiafork/keeper/runtime.py
@@ -26,7 +26,8 @@
 
 
 class KeeperRuntime:
-    """Carries messages and effects between a node and the world.
+    """
+    Carries messages and effects between a node and the world.
 
     Everything but the store calls happens in one event loop, so the node
     needs no locks.
--- a/fuchsiafork/membership/system.py
+++ b/fuchsiafork/membership/system.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import math
 from typing import Any
 
 from fuchsiafork import messages
@@ -11,7 +12,11 @@
 HEARTBEAT_INTERVAL_S = 0.5
 # Four heartbeats; a shorter time takes a busy process for a dead one.
 SILENCE_LIMIT_S = 2.0
+ROSTER_INTERVAL_S = 5.0
 GATEWAYS_PER_DOMAIN = 2
+# Peers of a domain that comes back after a partition are dialled again at
+# their old addresses until then.
+FORGET_AFTER_S = 600.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +36,7 @@
     routers: tuple[str, ...]
     last_heard: float
     verdicts: int = 0
+    introduced_at: float = 0.0
 
     @property
     def vm(self) -> str:
@@ -41,7 +47,12 @@
 class MembershipSystem(System):
     """Keeps the table of keepers and routers."""
 
-    accepts = (messages.Heartbeat, messages.HeartbeatAck, messages.Goodbye)
+    accepts = (
+        messages.Heartbeat,
+        messages.HeartbeatAck,
+        messages.Goodbye,
+        messages.Roster,
+    )
 
     def __init__(self, context: Context, address: str) -> None:
         """Start alone; ``address`` is where this keeper accepts links."""
@@ -53,6 +64,7 @@
         self.leaving = False
         self._address = address
         self._next_heartbeat = 0.0
+        self._next_roster = 0.0
 
     @functools.singledispatchmethod
     def handle(self, message: Any, sender: str) -> None:
@@ -90,15 +102,57 @@
             self.members.pop(message.node)
             self._context.events.record('member_left', member=message.node)
 
+    @handle.register
+    def _(self, message: messages.Roster, sender: str) -> None:
+        own = self._context.identity.node
+        for row in message.rows:
+            if row.node != own:
+                self.introduce(row)
+
     def tick(self) -> None:
         """Send heartbeats that are due and drop members long silent."""
         now = self._context.clock.now()
         if now < self._next_heartbeat:
             return
         self._next_heartbeat = now + HEARTBEAT_INTERVAL_S
+        self._forget_lost(now)
         beat = self._heartbeat(now)
-        for node in self._heartbeat_targets():
+        targets = self._heartbeat_targets()
+        for node in targets:
             self._context.outbox.send(node, beat)
+        if targets and now >= self._next_roster:
+            self._next_roster = now + ROSTER_INTERVAL_S
+            chosen = self._context.random.choice(targets)
+            self._context.outbox.send(chosen, self._roster())
+
+    def introduce(
+        self,
+        hello: messages.Hello | messages.RosterRow,
+    ) -> None:
+        """
+        Take up a keeper that has just been linked.
+
+        Heartbeats go to it from now on; it is live once its own arrives.
+        """
+        if hello.node in self.members:
+            return
+        self.members[hello.node] = Member(
+            node=hello.node,
+            domain=hello.domain,
+            incarnation=hello.incarnation,
+            address=hello.address,
+            revision=0,
+            leaving=False,
+            routers=(),
+            last_heard=-math.inf,
+            introduced_at=self._context.clock.now(),
+        )
+        self._context.outbox.send(hello.node, self._roster())
+
+    def addresses(self) -> set[str]:
+        """Return where links to the members heartbeats go to are opened."""
+        wanted = self._heartbeat_targets()
+        return {self.members[node].address for node in wanted}
 
     def live(self, domain: str = '') -> list[str]:
         """
@@ -151,12 +205,37 @@
                 return member.node
         return ''
 
+    def _forget_lost(self, now: float) -> None:
+        """Drop members that have been silent for long."""
+        horizon = now - FORGET_AFTER_S
+        for node, member in tuple(self.members.items()):
+            known_for = max(member.last_heard, member.introduced_at)
+            if known_for < horizon:
+                self.members.pop(node)
+                self._context.events.record('member_lost', member=node)
+
     def _stays(self, node: str) -> bool:
         """Return whether a node is not shutting down."""
         if node == self._context.identity.node:
             return not self.leaving
         return not self.members[node].leaving
 
+    def _roster(self) -> messages.Roster:
+        """Return the live keepers, this one aside, which said hello."""
+        horizon = self._context.clock.now() - SILENCE_LIMIT_S
+        return messages.Roster(
+            tuple(
+                messages.RosterRow(
+                    member.node,
+                    member.domain,
+                    member.incarnation,
+                    member.address,
+                )
+                for member in self.members.values()
+                if member.last_heard >= horizon
+            ),
+        )
+
     def _heartbeat(self, now: float) -> messages.Heartbeat:
         """Return this keeper's heartbeat."""
         identity = self._context.identity
--- a/fuchsiafork/messages/__init__.py
+++ b/fuchsiafork/messages/__init__.py
@@ -49,6 +49,8 @@
     Heartbeat,
     HeartbeatAck,
     Hello,
+    Roster,
+    RosterRow,
 )
 from fuchsiafork.messages.outcomes import (
     BindKey,
@@ -99,6 +101,8 @@
     'Reserve',
     'ReserveRefused',
     'Reserved',
+    'Roster',
+    'RosterRow',
     'Settle',
     'SettleAccepted',
     'SlotAcquired',
--- a/fuchsiafork/messages/links.py
+++ b/fuchsiafork/messages/links.py
@@ -65,3 +65,22 @@
 
     node: str
     incarnation: str
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class RosterRow:
+    """Where a keeper accepts links."""
+
+    node: str
+    domain: str
+    incarnation: str
+    address: str
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Roster:
+    """The keepers that the sender knows to be live."""
+
+    rows: tuple[RosterRow, ...]
--- a/fuchsiafork/observability/admin.py
+++ b/fuchsiafork/observability/admin.py
@@ -24,7 +24,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
-    """What the admin server reads from its process.
+    """
+    What the admin server reads from its process.
 
     :ivar ready: whether the platform's balancer may send work here.
     :ivar status: facts for operators, as a JSON object.
--- a/fuchsiafork/observability/logs.py
+++ b/fuchsiafork/observability/logs.py
@@ -1,7 +1,7 @@
 """Logs of every program: one key=value line for each event."""
 
 import logging
-from collections.abc import MutableMapping
+from collections.abc import Callable, MutableMapping
 from typing import Any
 
 import structlog
@@ -47,3 +47,8 @@
     if 'logger_name' in event:
         event['logger'] = event.pop('logger_name')
     return event
+
+
+def event_logger(node: str, domain: str) -> Callable[..., Any]:
+    """Return a function that logs an event of a process on one line."""
+    return get_logger(node.replace('/', '.')).bind(domain=domain).info
--- /dev/null
+++ b/fuchsiafork/router/application.py
@@ -0,0 +1,262 @@
+"""The callers' HTTP interface, as a WSGI application."""
+
+import json
+import threading
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from fuchsiafork.kernel import Clock, EventRing, FuchsiaforkError
+from fuchsiafork.kernel.errors import (
+    BadRequestError,
+    RequestTooLargeError,
+    StoppingError,
+)
+from fuchsiafork.router.caller import Caller, StartResponse
+from fuchsiafork.router.directory import Directory
+from fuchsiafork.router.driver import Driver
+from fuchsiafork.router.machine_types import Answer, Request, Services
+from fuchsiafork.router.metrics import RouterMetrics
+from fuchsiafork.router.parsing import Incoming, parse_request
+
+BODY_DEADLINE_S = 30.0
+
+_PIECE_BYTES = 65_536
+_JSON = 'application/json'
+# Key of the WSGI environment under which the gateway puts the socket.
+SOCKET_KEY = 'fuchsiafork.socket'
+
+
+class Application:
+    """Serves callers; one worker thread carries each request."""
+
+    def __init__(
+        self,
+        services: Services,
+        make_driver: Callable[[Caller], Driver],
+        metrics: RouterMetrics,
+        body_limit: int,
+        write_deadline_s: float,
+    ) -> None:
+        """Serve requests with a driver for each caller."""
+        self.directory: Directory | None = None
+        self.stopping = False
+        self._services = services
+        self._make_driver = make_driver
+        self._metrics = metrics
+        self._body_limit = body_limit
+        self._write_deadline_s = write_deadline_s
+        self._open: dict[str, str] = {}
+        self._idle = threading.Condition()
+
+    @property
+    def open_requests(self) -> dict[str, str]:
+        """Path of each request that is being served, by request id."""
+        return dict(self._open)
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Return whether every request had ended within the time."""
+        with self._idle:
+            return self._idle.wait_for(lambda: not self._open, timeout_s)
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Serve one request, as WSGI wants it."""
+        request_id = f'{self._services.random.getrandbits(96):024x}'
+        caller = Caller(
+            start_response,
+            environ.get(SOCKET_KEY),
+            self._write_deadline_s,
+        )
+        with self._idle:
+            self._open[request_id] = environ['PATH_INFO']
+        self._metrics.in_flight.inc()
+        try:
+            self._serve(request_id, environ, caller)
+        finally:
+            self._metrics.in_flight.dec()
+            with self._idle:
+                self._open.pop(request_id)
+                self._idle.notify_all()
+        return ()
+
+    @property
+    def _events(self) -> EventRing:
+        """The ring of the process."""
+        return self._services.events
+
+    @property
+    def _clock(self) -> Clock:
+        """The clock of the process."""
+        return self._services.clock
+
+    def _serve(
+        self,
+        request_id: str,
+        environ: dict[str, Any],
+        caller: Caller,
+    ) -> None:
+        """Answer or refuse one request."""
+        began = self._clock.now()
+        request: Request | None = None
+        try:
+            request = self._admit(request_id, environ)
+            answer = self._make_driver(caller).run(request, self._services)
+        except FuchsiaforkError as error:
+            self._refuse(request_id, request, caller, error)
+        else:
+            self._note_answer(request, answer, self._clock.now() - began)
+            if not answer.relayed:
+                _replay(caller, answer)
+
+    def _admit(self, request_id: str, environ: dict[str, Any]) -> Request:
+        """
+        Return the request if it is well formed and allowed.
+
+        :raises FuchsiaforkError: if it isn't.
+        """
+        if self.stopping:
+            raise StoppingError('the router is stopping', retry_after=1)
+        directory = self.directory
+        if directory is None:
+            raise StoppingError('no configuration yet', retry_after=1)
+        incoming = Incoming(
+            request_id=request_id,
+            method=environ['REQUEST_METHOD'],
+            path=environ['PATH_INFO'],
+            query=environ.get('QUERY_STRING', ''),
+            headers=_read_headers(environ),
+            body=self._read_body(environ),
+        )
+        request = parse_request(incoming, directory, self._clock)
+        self._events.record(
+            'request_received',
+            request_id=request_id,
+            account=request.account,
+            route=request.route,
+            revision=directory.revision,
+        )
+        return request
+
+    def _read_body(self, environ: dict[str, Any]) -> bytes:
+        """Return the body, read within the bound and the deadline."""
+        given = environ.get('CONTENT_LENGTH') or '0'
+        if not given.isdecimal():
+            raise BadRequestError(f'Content-Length {given!r}')
+        if int(given) > self._body_limit:
+            raise RequestTooLargeError(f'{given} bytes')
+        deadline = time.monotonic() + BODY_DEADLINE_S
+        body = bytearray()
+        while piece := _read_piece(environ):
+            body.extend(piece)
+            if len(body) > self._body_limit:
+                raise RequestTooLargeError(f'over {self._body_limit} bytes')
+            if time.monotonic() > deadline:
+                raise BadRequestError('the body came too slowly')
+        return bytes(body)
+
+    def _note_answer(
+        self,
+        request: Request,
+        answer: Answer,
+        seconds: float,
+    ) -> None:
+        """Count and record an answer."""
+        self._metrics.requests.labels(request.route, answer.version).inc()
+        self._metrics.tokens.labels(request.account).inc(answer.tokens)
+        self._metrics.duration.labels(request.route).observe(seconds)
+        self._events.record(
+            'request_answered',
+            request_id=request.request_id,
+            account=request.account,
+            route=request.route,
+            version=answer.version,
+            status=answer.status,
+            tokens=answer.tokens,
+        )
+
+    def _refuse(
+        self,
+        request_id: str,
+        request: Request | None,
+        caller: Caller,
+        error: FuchsiaforkError,
+    ) -> None:
+        """Tell the caller why there is no whole answer."""
+        self._metrics.refusals.labels(error.code, error.run_state).inc()
+        self._events.record(
+            'request_refused',
+            request_id=request_id,
+            account=request.account if request else '',
+            route=request.route if request else '',
+            code=error.code,
+            run_state=error.run_state,
+            reason=str(error),
+        )
+        body = refusal_body(request_id, error)
+        if caller.started:
+            # The answer has begun, so neither its status nor its length can
+            # tell any more; breaking the connection does.
+            raise ConnectionAbortedError(f'{error.code}: {error}')
+        headers = {
+            'content-type': _JSON,
+            'content-length': str(len(body)),
+            'x-request-id': request_id,
+            'x-run-state': error.run_state,
+        }
+        if error.retry_after is not None:
+            headers['retry-after'] = str(max(1, round(error.retry_after)))
+        if self.stopping:
+            headers['connection'] = 'close'
+        caller.begin(error.status, headers)
+        caller.write(body)
+
+
+def refusal_body(request_id: str, error: FuchsiaforkError) -> bytes:
+    """Return the JSON body of a refusal."""
+    return json.dumps({
+        'error': {
+            'code': error.code,
+            'type': type(error).__name__.removesuffix('Error'),
+            'message': str(error),
+            'run_state': error.run_state,
+            'retry_safe': error.retry_safe,
+        },
+        'request_id': request_id,
+    }).encode()
+
+
+def _replay(caller: Caller, answer: Answer) -> None:
+    """Send the recorded answer of an earlier request with the same key."""
+    headers = {
+        'content-type': answer.content_type,
+        'content-length': str(len(answer.body)),
+        'x-request-id': answer.request_id,
+        'x-first-request-id': answer.first_request_id,
+        'x-target-version': answer.version,
+    }
+    caller.begin(answer.status, headers)
+    caller.write(answer.body)
+
+
+def _read_headers(environ: dict[str, Any]) -> dict[str, str]:
+    """Return the request's headers, names in lower case."""
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): text
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    }
+    if environ.get('CONTENT_TYPE'):
+        headers['content-type'] = environ['CONTENT_TYPE']
+    return headers
+
+
+def _read_piece(environ: dict[str, Any]) -> bytes:
+    """Return the next bytes of the body, none at its end."""
+    try:
+        return environ['wsgi.input'].read(_PIECE_BYTES)
+    except OSError as error:
+        raise BadRequestError(f'the body broke off: {error}') from None
--- a/fuchsiafork/router/bridge.py
+++ b/fuchsiafork/router/bridge.py
@@ -10,6 +10,7 @@
 from fuchsiafork import messages
 from fuchsiafork.kernel import Context, HybridClock
 from fuchsiafork.links import Dialer, LinkHub
+from fuchsiafork.router.configuration import KEEPER
 from fuchsiafork.router.node import RouterNode
 
 TICK_INTERVAL_S = 0.1
@@ -57,8 +58,13 @@
             return None
 
     def tell(self, message: Any, destination: str) -> None:
-        """Send a message without waiting."""
-        self.call(lambda: self._context.outbox.send(destination, message))
+        """Send a message without waiting for a reply."""
+        self.call(lambda: self.node.tell(message, destination))
+
+    @property
+    def linked(self) -> bool:
+        """Whether a keeper is linked."""
+        return bool(self._first_keeper())
 
     def call(self, action: Callable[[], Any]) -> None:
         """Run an action on the node in its event loop, then send."""
@@ -99,8 +105,10 @@
         sends, _ = self._context.outbox.drain()
         hop = self._first_keeper()
         for send in sends:
+            to_keeper = send.destination == KEEPER
+            destination = hop if to_keeper else send.destination
             if hop:
-                self.hub.send(hop, send.destination, send.message)
+                self.hub.send(hop, destination, send.message)
 
     def _first_keeper(self) -> str:
         """Return the linked keeper, the own VM's if it is there."""
--- a/fuchsiafork/router/caller.py
+++ b/fuchsiafork/router/caller.py
@@ -43,7 +43,8 @@
         self._write = self._start_response(f'{status} {phrase}', rows)
 
     def write(self, piece: bytes) -> None:
-        """Send a piece and wait until the kernel has taken it.
+        """
+        Send a piece and wait until the kernel has taken it.
 
         :raises CallerGoneError: if it doesn't in time.
         """
--- a/fuchsiafork/router/driver.py
+++ b/fuchsiafork/router/driver.py
@@ -26,14 +26,6 @@
     def tell(self, message: Any, destination: str) -> None:
         """Send a message without waiting."""
 
-    def tell_until(
-        self,
-        message: Any,
-        destination: str,
-        acknowledged_by: type,
-    ) -> None:
-        """Send a message again and again until it is acknowledged."""
-
 
 class Driver:
     """Carries out the commands of one request, blocking."""
@@ -58,7 +50,8 @@
         request: commands.Request,
         services: commands.Services,
     ) -> commands.Answer:
-        """Return the answer to a request.
+        """
+        Return the answer to a request.
 
         :raises FuchsiaforkError: if it is refused or fails.
         """
@@ -87,14 +80,7 @@
 
     @_execute.register
     def _(self, command: commands.Tell) -> None:
-        if command.acknowledged_by is None:
-            self._correspondent.tell(command.message, command.destination)
-        else:
-            self._correspondent.tell_until(
-                command.message,
-                command.destination,
-                command.acknowledged_by,
-            )
+        self._correspondent.tell(command.message, command.destination)
 
     @_execute.register
     def _(self, command: commands.Sleep) -> None:
@@ -112,7 +98,7 @@
             return None
         return commands.TargetRecord(
             found=record.state != 'unknown',
-            tokens=record.tokens,
+            tokens=record.tokens or 0,
         )
 
     @_execute.register
--- a/fuchsiafork/router/node.py
+++ b/fuchsiafork/router/node.py
@@ -1,129 +1,157 @@
-"""The pure part of a router: replies, and what the router holds."""
+"""The pure part of a router: what it asks keepers for and what it holds."""
 
-import collections
 import functools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any
 
 from fuchsiafork import messages
-from fuchsiafork.kernel import Context, Outbox, System
+from fuchsiafork.budgets import HoldingsSystem
+from fuchsiafork.dispatch import RouterSlots
+from fuchsiafork.kernel import Context, Outbox
 from fuchsiafork.kernel.outbox import StoreAnswer
-from fuchsiafork.membership import HOME
+from fuchsiafork.router.configuration import ConfigurationClient
+from fuchsiafork.router.directory import Directory
+from fuchsiafork.router.repeats import Repeater
+
+_Waiter = Callable[[Any], None]
 
 # Types of the replies -> type of the message that they answer.
 _ANSWERS: dict[type, type] = {
-    messages.Reserved: messages.Reserve,
-    messages.ReserveRefused: messages.Reserve,
-    messages.SlotAcquired: messages.AcquireSlot,
-    messages.SlotRefused: messages.AcquireSlot,
     messages.KeyBound: messages.BindKey,
     messages.KeyReplay: messages.BindKey,
     messages.KeyRefused: messages.BindKey,
-    messages.OutcomeRecorded: messages.RecordOutcome,
+    messages.ReserveRefused: messages.Reserve,
 }
-
-ABANDONED_KEPT = 4096
-
-_Waiter = Callable[[Any], None]
+_SLOT_MESSAGES = (
+    messages.SlotAcquired,
+    messages.SlotRefused,
+    messages.SlotReleased,
+    messages.AskOpenSlots,
+)
 
 
 class RouterNode:
     """Matches replies with the requests that wait for them."""
 
-    def __init__(self, context: Context, systems: Sequence[System]) -> None:
-        """Compose the systems that hold reservations and slots."""
+    def __init__(
+        self,
+        context: Context,
+        apply: Callable[[Directory], None],
+    ) -> None:
+        """Hand each newer configuration to ``apply``."""
         self.outbox: Outbox = context.outbox
+        self.holdings = HoldingsSystem(context)
+        self.slots = RouterSlots(
+            context.identity.node,
+            context.clock,
+            context.outbox,
+        )
+        self.repeater = Repeater(context)
+        self.configuration = ConfigurationClient(context, apply)
         self._context = context
-        self._systems = tuple(systems)
-        self._by_type: dict[type, list[System]] = {}
-        for system in systems:
-            for kind in system.accepts:
-                self._by_type.setdefault(kind, []).append(system)
         self._waiters: dict[tuple[type, str], _Waiter] = {}
-        # Only a reply to one of these is handed back: a repeated reply to a
-        # request that goes on must not cancel what that request uses.
-        self._abandoned: collections.OrderedDict[tuple[type, str], None] = (
-            collections.OrderedDict()
-        )
+        self._asked_at: dict[str, tuple[str, float]] = {}
+
+    @property
+    def unacknowledged(self) -> int:
+        """Settlements and outcomes that no keeper has confirmed yet."""
+        return self.holdings.unsettled + self.repeater.count
 
     def ask(self, message: Any, destination: str, resolve: _Waiter) -> None:
         """Send a message; ``resolve`` is called with its reply."""
-        key = (type(message), message.request_id)
-        self._abandoned.pop(key, None)
-        self._waiters[key] = resolve
-        self.outbox.send(destination, message)
+        self._waiters[type(message), message.request_id] = resolve
+        self._send(message, destination)
 
     def forget(self, message: Any) -> None:
         """Stop waiting for the reply to a message."""
-        key = (type(message), message.request_id)
-        if self._waiters.pop(key, None) is not None:
-            self._abandoned[key] = None
-        while len(self._abandoned) > ABANDONED_KEPT:
-            self._abandoned.popitem(last=False)
+        self._waiters.pop((type(message), message.request_id), None)
+        if isinstance(message, messages.AcquireSlot):
+            self.slots.cancel(message.request_id)
+
+    def tell(self, message: Any, destination: str) -> None:
+        """Send a message without a reply; repeated ones until confirmed."""
+        self._send(message, destination)
 
     def receive(self, message: Any, sender: str, destination: str) -> None:
         """Take a message from a keeper."""
-        for system in self._by_type.get(type(message), ()):
-            system.handle(message, sender)
-        asked = _ANSWERS.get(type(message))
-        if asked is None:
-            return
-        key = (asked, message.request_id)
-        resolve = self._waiters.pop(key, None)
-        if resolve is not None:
-            resolve(message)
-        elif key in self._abandoned:
-            self._abandoned.pop(key)
-            _return_unused(message, self.outbox)
+        if isinstance(message, _SLOT_MESSAGES):
+            answer = self.slots.handle(message)
+            if answer is not None:
+                self._resolve(messages.AcquireSlot, answer)
+        elif isinstance(message, messages.Reserved):
+            self._take_reserved(message)
+        elif type(message) in _ANSWERS:
+            self._resolve(_ANSWERS[type(message)], message)
+        elif isinstance(message, messages.OutcomeRecorded):
+            self.repeater.confirm(message.request_id)
+        elif isinstance(message, HoldingsSystem.accepts):
+            self.holdings.handle(message, sender)
+        else:
+            self.configuration.handle(message, sender)
 
     def answer(self, message: StoreAnswer) -> None:
         """Routers call no store."""
 
     def tick(self) -> None:
-        """Run every system once."""
-        for system in self._systems:
-            system.tick()
-
-
-@functools.singledispatch
-def _return_unused(message: Any, outbox: Outbox) -> None:
-    """Hand back what a late reply brought for a request that gave up."""
-
-
-@_return_unused.register
-def _(message: messages.Reserved, outbox: Outbox) -> None:
-    outbox.send(
-        HOME,
-        messages.Settle(
-            request_id=message.request_id,
-            budget=message.budget,
-            account='',
-            holder=message.holder,
-            tokens=0,
-            key=message.request_id,
-        ),
-    )
-
-
-@_return_unused.register
-def _(message: messages.SlotAcquired, outbox: Outbox) -> None:
-    unused = messages.Observation(
-        sent=False,
-        failed=False,
-        truncated=False,
-        first_token_s=-1,
-        token_gap_s=-1,
-        tokens=0,
-    )
-    outbox.send(
-        message.owner,
-        messages.ReleaseSlot(
-            request_id=message.request_id,
-            route=message.route,
-            group='',
-            target=message.target,
-            version=message.version,
-            owner=message.owner,
-            observation=unused,
-        ),
-    )
+        """Do what is due by the clock."""
+        self.configuration.tick()
+        self.holdings.tick()
+        self.repeater.tick()
+        for request_id in self.slots.tick():
+            self._waiters.pop((messages.AcquireSlot, request_id), None)
+
+    @functools.singledispatchmethod
+    def _send(self, message: Any, destination: str) -> None:
+        """Send a message, or have the part send it that repeats it."""
+        self.outbox.send(destination, message)
+
+    @_send.register
+    def _(self, message: messages.Reserve, destination: str) -> None:
+        now = self._context.clock.now()
+        self._asked_at.setdefault(message.request_id, (message.account, now))
+        self.outbox.send(destination, message)
+
+    @_send.register
+    def _(self, message: messages.StartUse, destination: str) -> None:
+        self.holdings.start(message.request_id, message.target)
+
+    @_send.register
+    def _(self, message: messages.Settle, destination: str) -> None:
+        self.holdings.settle(message.request_id, message.tokens, message.key)
+
+    @_send.register
+    def _(self, message: messages.AcquireSlot, destination: str) -> None:
+        self.slots.acquire(message)
+
+    @_send.register
+    def _(self, message: messages.CancelAcquire, destination: str) -> None:
+        self.slots.cancel(message.request_id)
+
+    @_send.register
+    def _(self, message: messages.ReleaseSlot, destination: str) -> None:
+        self.slots.release(message.request_id, message.observation)
+
+    @_send.register
+    def _(self, message: messages.RecordOutcome, destination: str) -> None:
+        self.repeater.send(message, destination)
+
+    def _take_reserved(self, message: messages.Reserved) -> None:
+        """Keep a reservation, or give it back if nobody waits for it."""
+        key = (messages.Reserve, message.request_id)
+        never = ('', -message.valid_s)
+        account, asked_at = self._asked_at.pop(message.request_id, never)
+        self.holdings.note_reserved(
+            message,
+            account,
+            asked_at,
+            wanted=key in self._waiters,
+        )
+        self._resolve(messages.Reserve, message)
+
+    def _resolve(self, asked: type, reply: Any) -> None:
+        """Hand a reply to the request that waits for it, if any."""
+        resolve = self._waiters.pop((asked, reply.request_id), None)
+        if asked is messages.Reserve:
+            self._asked_at.pop(reply.request_id, None)
+        if resolve is not None:
+            resolve(reply)
--- /dev/null
+++ b/fuchsiafork/router/program.py
@@ -0,0 +1,215 @@
+"""Composes a router process and runs it until it is told to stop."""
+
+import random
+import secrets
+import signal
+import sys
+import threading
+import time
+from types import FrameType
+from typing import Any
+
+from fuchsiafork.adapters.engine import EngineClient
+from fuchsiafork.kernel import (
+    Context,
+    CountingInvariants,
+    EventRing,
+    HybridClock,
+    Identity,
+    Outbox,
+    SystemClock,
+)
+from fuchsiafork.messages import Hello
+from fuchsiafork.observability.admin import AdminServer, Probe
+from fuchsiafork.observability.logs import event_logger
+from fuchsiafork.router.application import Application
+from fuchsiafork.router.bridge import Bridge
+from fuchsiafork.router.caller import Caller
+from fuchsiafork.router.directory import Directory
+from fuchsiafork.router.driver import Driver
+from fuchsiafork.router.machine_types import Services
+from fuchsiafork.router.metrics import RouterMetrics
+from fuchsiafork.router.node import RouterNode
+from fuchsiafork.router.retries import RetryBudget
+from fuchsiafork.router.server import CallerServer
+from fuchsiafork.settings import RouterSettings
+
+# Longer than the balancer takes to see that readiness is off.
+BALANCER_WAIT_S = 2.0
+# Time for settlements to be acknowledged before the process ends.
+SETTLE_WAIT_S = 5.0
+
+
+class RouterProgram:
+    """One router process."""
+
+    def __init__(self, settings: RouterSettings) -> None:
+        """Compose the process; nothing listens yet."""
+        clock = SystemClock()
+        vm = settings.vm
+        identity = Identity(
+            node=f'{vm.name}/router',
+            domain=vm.domain,
+            vm=vm.name,
+            incarnation=secrets.token_hex(4),
+        )
+        stamps = HybridClock(identity.node, clock)
+        log = event_logger(identity.node, identity.domain)
+        self.events = EventRing(stamps, log=log)
+        self.metrics = RouterMetrics()
+        self.context = Context(
+            identity=identity,
+            clock=clock,
+            random=random.Random(secrets.randbits(64)),
+            outbox=Outbox(),
+            events=self.events,
+            invariants=CountingInvariants(log),
+        )
+        self._settings = settings.router
+        self.application = Application(
+            Services(
+                vm=vm.name,
+                clock=clock,
+                random=self.context.random,
+                events=self.events,
+                retries=RetryBudget(),
+            ),
+            self._make_driver,
+            self.metrics,
+            settings.router.body_limit_bytes,
+            settings.router.write_deadline_s,
+        )
+        self.node = RouterNode(self.context, self._apply)
+        self.bridge = Bridge(
+            self.context,
+            self.node,
+            stamps,
+            Hello(
+                node=identity.node,
+                domain=identity.domain,
+                role='router',
+                incarnation=identity.incarnation,
+                address='',
+                token=settings.router.token.get_secret_value(),
+            ),
+            settings.router.keepers,
+        )
+        self._engines = EngineClient()
+        self._server = CallerServer(
+            _split(settings.router.listen),
+            self.application,
+            settings.router.threads,
+            settings.router.header_limit_bytes,
+            settings.router.body_limit_bytes,
+        )
+        self._admin = AdminServer(
+            *_split(settings.router.admin),
+            Probe(
+                ready=self._is_ready,
+                status=self._status,
+                events=self.events,
+                registry=self.metrics.registry,
+            ),
+        )
+        self._stop = threading.Event()
+
+    @property
+    def port(self) -> int:
+        """The port that callers connect to, once started."""
+        return self._server.port
+
+    @property
+    def admin_port(self) -> int:
+        """The port of the admin pages, once started."""
+        return self._admin.port
+
+    def start(self) -> None:
+        """Listen, link with the keeper and serve in the background."""
+        self.bridge.start()
+        self._server.start()
+        self._admin.start()
+        self.events.record('router_started', port=self.port)
+
+    def run(self) -> int:
+        """Serve until SIGTERM or SIGINT and return the exit status."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        self.start()
+        self._stop.wait()
+        self.stop()
+        return 0
+
+    def stop(self) -> None:
+        """Finish every open request, then close everything."""
+        self.events.record('router_stopping')
+        self._stop.set()
+        time.sleep(BALANCER_WAIT_S)
+        self.application.stopping = True
+        while not self.application.wait_idle(self._settings.drain_wait_s):
+            self.events.record(
+                'router_draining',
+                open_requests=len(self.application.open_requests),
+            )
+        self._await_settlements()
+        self._server.stop()
+        self.bridge.stop()
+        self._admin.stop()
+        self.events.record('router_stopped')
+
+    def _await_settlements(self) -> None:
+        """Wait until the keepers know every outcome, within a bound."""
+        deadline = time.monotonic() + SETTLE_WAIT_S
+        while self.node.unacknowledged and time.monotonic() < deadline:
+            time.sleep(0.05)
+
+    def _on_signal(self, number: int, frame: FrameType | None) -> None:
+        """Start to stop; at the second signal name what is cut off."""
+        if not self._stop.is_set():
+            self._stop.set()
+            return
+        for request_id, path in self.application.open_requests.items():
+            self.events.record(
+                'request_cut_off',
+                request_id=request_id,
+                path=path,
+            )
+        sys.exit(1)
+
+    def _make_driver(self, caller: Caller) -> Driver:
+        """Return the driver of one request."""
+        return Driver(
+            self.bridge,
+            self._engines,
+            caller,
+            self.context.clock,
+        )
+
+    def _apply(self, directory: Directory) -> None:
+        """Put a newer configuration in force."""
+        self.application.directory = directory
+
+    def _is_ready(self) -> bool:
+        """Return whether the balancer may send requests here."""
+        configured = self.application.directory is not None
+        return configured and self.bridge.linked and not self._stop.is_set()
+
+    def _status(self) -> dict[str, Any]:
+        """Return facts for operators."""
+        directory = self.application.directory
+        identity = self.context.identity
+        return {
+            'node': identity.node,
+            'domain': identity.domain,
+            'incarnation': identity.incarnation,
+            'role': 'router',
+            'ready': self._is_ready(),
+            'revision': directory.revision if directory else 0,
+            'open_requests': len(self.application.open_requests),
+            'unacknowledged': self.node.unacknowledged,
+        }
+
+
+def _split(address: str) -> tuple[str, int]:
+    """Return host and port of ``ip:port``."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
--- a/fuchsiafork/router/relay.py
+++ b/fuchsiafork/router/relay.py
@@ -1,4 +1,5 @@
-"""Relays an answer from a target to a caller with bounded memory.
+"""
+Relays an answer from a target to a caller with bounded memory.
 
 A piece is read only after the one before it was taken by the caller's
 socket, so a slow caller stops the reading and memory stays at one piece and
@@ -93,7 +94,8 @@
             self._write(piece)
 
     def _keep(self, piece: bytes) -> None:
-        """Keep the answer for a replay while it is within the bound.
+        """
+        Keep the answer for a replay while it is within the bound.
 
         An answer that is no event stream is also held back until it is
         whole or over the bound, so that a broken one can be tried again.
--- a/fuchsiafork/router/stream.py
+++ b/fuchsiafork/router/stream.py
@@ -13,7 +13,8 @@
 
 @dataclasses.dataclass(slots=True)
 class StreamCount:
-    """What was seen of a stream.
+    """
+    What was seen of a stream.
 
     :ivar prompt_tokens: the engine's count of the prompt, -1 if not told.
     :ivar output_tokens: the engine's count if told, else pieces seen.
--- a/measurements/budgets_demand.py
+++ b/measurements/budgets_demand.py
@@ -3,6 +3,7 @@
 import dataclasses
 import heapq
 import itertools
+import operator
 import random
 
 from measurements.budgets_fleet import Request
@@ -138,4 +139,4 @@
         inside = tokens * step // steps
         pools = {'in': inside, 'out': tokens - inside}
         outcomes.append(replay(requests, pools, credits_later))
-    return min(outcomes, key=lambda outcome: (outcome[1], outcome[0]))
+    return min(outcomes, key=operator.itemgetter(1, 0))
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -194,6 +194,11 @@
         horizon = self._now() - self.settings.report_lag_s
         return self._reports.at(horizon)
 
+    @property
+    def last_order(self) -> Order:
+        """The last order that was carried out."""
+        return self._order
+
     def advance(self) -> None:
         """Run the steps that are due."""
         now = self._now()
@@ -207,6 +212,7 @@
     def _begin(self) -> None:
         """Start a new identity with nothing cached."""
         self._starts += 1
+        self.started_at = self._now()
         self._batch: list[Record] = []
         self._down_until = self._now()
         self.loaded_at = self._now()
--- /dev/null
+++ b/standins/engine_server.py
@@ -0,0 +1,278 @@
+"""HTTP stand-in of a model engine, with the usual chat interface."""
+
+import json
+import random
+import threading
+import time
+import urllib.parse
+from collections.abc import Iterator
+from typing import Any
+
+from fuchsiafork.adapters.prefixes import prefix_hashes, prompt_text
+from standins.engine_model import EngineModel
+from standins.engine_types import (
+    EngineError,
+    EngineSettings,
+    Record,
+    State,
+    Submission,
+    token_text,
+)
+from standins.engine_versions import FenceError, Order
+from standins.http_server import Call, Result, StandinServer, json_result
+
+BYTES_PER_TOKEN = 4
+
+_ENDED = frozenset((State.DONE, State.FAILED, State.CANCELLED))
+_EVENT_STREAM = 'text/event-stream'
+
+
+class BrokenStreamError(Exception):
+    """Breaks the connection in the middle of an answer."""
+
+
+class EngineServer:
+    """Serves an engine model over HTTP in real time."""
+
+    def __init__(
+        self,
+        name: str,
+        settings: EngineSettings | None = None,
+        version: str = 'v1',
+        seed: int = 1,
+        port: int = 0,
+    ) -> None:
+        """Prepare a server on loopback; port 0 takes a free one."""
+        self.model = EngineModel(
+            name,
+            time.monotonic,
+            random.Random(seed),
+            settings,
+            version,
+        )
+        self.lock = threading.Lock()
+        self.server = StandinServer(self._handle, port)
+        self._routes = {
+            ('POST', '/v1/chat/completions'): self._complete,
+            ('GET', '/load'): self._load,
+            ('GET', '/cache/events'): self._cache_events,
+            ('POST', '/orders'): self._order,
+            ('GET', '/orders'): self._order_state,
+        }
+
+    def _handle(self, call: Call) -> Result:
+        """Answer one call."""
+        serve = self._routes.get((call.method, call.path))
+        if serve is not None:
+            return serve(call)
+        if call.path.startswith('/v1/requests/'):
+            return self._about_request(call)
+        return json_result({'error': 'no such path'}, 404)
+
+    def _complete(self, call: Call) -> Result:
+        """Run a chat completion."""
+        body = call.json()
+        request_id = call.headers.get('x-request-id', '')
+        echo = (('X-Request-Id', request_id),)
+        try:
+            with self.lock:
+                self.model.submit(_to_submission(request_id, body))
+        except EngineError as error:
+            return json_result({'error': str(error)}, 503, echo)
+        if body.get('stream'):
+            pieces = self._stream(request_id, 0)
+            return Result(200, pieces, _EVENT_STREAM, echo)
+        return self._whole(request_id, echo)
+
+    def _whole(
+        self,
+        request_id: str,
+        echo: tuple[tuple[str, str], ...],
+    ) -> Result:
+        """Return the answer in one piece once it has ended."""
+        record = self._wait(request_id, -1)
+        if record.state is not State.DONE:
+            return json_result({'error': record.state}, 500, echo)
+        text = ''.join(
+            token_text(request_id, index) for index in range(record.tokens)
+        )
+        choice = {'message': {'role': 'assistant', 'content': text}}
+        answer = {'choices': [choice], 'usage': _usage(record)}
+        return json_result(answer, headers=echo)
+
+    def _stream(self, request_id: str, start: int) -> Iterator[bytes]:
+        """Yield the tokens from a position on as they are generated."""
+        try:
+            yield from self._tokens(request_id, start)
+        except GeneratorExit:
+            with self.lock:
+                self.model.cancel(request_id)
+            raise
+        record = self.model.records[request_id]
+        if record.state is not State.DONE:
+            raise BrokenStreamError(request_id)
+        yield _to_event({'choices': [], 'usage': _usage(record)})
+        yield b'data: [DONE]\n\n'
+
+    def _tokens(self, request_id: str, start: int) -> Iterator[bytes]:
+        """Yield each token until the request has ended."""
+        sent = start
+        while True:
+            record = self._wait(request_id, sent)
+            for index in range(sent, record.tokens):
+                yield _to_chunk(token_text(request_id, index))
+            sent = record.tokens
+            if record.state in _ENDED:
+                return
+
+    def _wait(self, request_id: str, sent: int) -> Record:
+        """Return the record once it has new tokens or has ended."""
+        while True:
+            with self.lock:
+                self.model.advance()
+                record = self.model.records.get(request_id)
+                if record is None:
+                    raise BrokenStreamError(request_id)
+                news = 0 <= sent < record.tokens
+                if news or record.state in _ENDED:
+                    return record
+            time.sleep(self.model.settings.step_s / 2)
+
+    def _load(self, call: Call) -> Result:
+        """Return the lagging load report."""
+        with self.lock:
+            report = self.model.report()
+        return json_result({
+            'identity': report.identity,
+            'version': report.version,
+            'role': report.role,
+            'ready': report.ready,
+            'running': report.running,
+            'capacity': report.capacity,
+        })
+
+    def _cache_events(self, call: Call) -> Result:
+        """Return the cache events after a sequence number."""
+        given = urllib.parse.parse_qs(call.query).get('after', ['0'])[0]
+        with self.lock:
+            self.model.advance()
+            batches = [
+                batch
+                for batch in self.model.cache.events()
+                if batch.last > int(given)
+            ]
+        stored = [part for batch in batches for part in batch.stored]
+        evicted = [part for batch in batches for part in batch.evicted]
+        return json_result({
+            'first': batches[0].first if batches else 0,
+            'last': batches[-1].last if batches else int(given),
+            'stored': stored,
+            'evicted': evicted,
+        })
+
+    def _order(self, call: Call) -> Result:
+        """Carry out an order to load a version or change role."""
+        body = call.json()
+        order = Order(
+            order_id=str(body.get('order_id', '')),
+            fence=int(body.get('fence', 0)),
+            version=str(body.get('version', '')),
+            role=str(body.get('role', '')),
+        )
+        try:
+            with self.lock:
+                self.model.order(order)
+        except FenceError as error:
+            return json_result({'error': str(error)}, 409)
+        return json_result({'order_id': order.order_id}, 202)
+
+    def _order_state(self, call: Call) -> Result:
+        """Return the last order and whether its version is loaded."""
+        with self.lock:
+            self.model.advance()
+            order = self.model.last_order
+            state = {
+                'order_id': order.order_id,
+                'fence': order.fence,
+                'version': self.model.version,
+                'role': self.model.role,
+                'ready': self.model.ready,
+            }
+        return json_result(state)
+
+    def _about_request(self, call: Call) -> Result:
+        """Return a request's record, or pause, resume or cancel it."""
+        parts = call.path.removeprefix('/v1/requests/').split('/')
+        request_id = parts[0]
+        if call.method == 'GET':
+            return self._record(request_id)
+        action = parts[1] if len(parts) > 1 else ''
+        if action == 'resume':
+            return self._resume(request_id, call)
+        with self.lock:
+            acts = {'pause': self.model.pause, 'cancel': self.model.cancel}
+            done = action in acts and acts[action](request_id)
+        return json_result({'done': done}, 200 if done else 409)
+
+    def _resume(self, request_id: str, call: Call) -> Result:
+        """Continue a paused stream from a token position."""
+        given = urllib.parse.parse_qs(call.query).get('from', ['0'])[0]
+        try:
+            with self.lock:
+                self.model.resume(request_id)
+        except EngineError as error:
+            return json_result({'error': str(error)}, 409)
+        pieces = self._stream(request_id, int(given))
+        echo = (('X-Request-Id', request_id),)
+        return Result(200, pieces, _EVENT_STREAM, echo)
+
+    def _record(self, request_id: str) -> Result:
+        """Return what the engine knows of a request."""
+        with self.lock:
+            self.model.advance()
+            record = self.model.records.get(request_id)
+            memory_s = time.monotonic() - self.model.started_at
+        answer = {'state': 'unknown', 'tokens': 0, 'memory_s': memory_s}
+        if record is not None:
+            answer['state'] = record.state
+            used = record.submission.prompt_tokens + record.tokens
+            answer['tokens'] = used
+        return json_result(answer)
+
+
+def _to_submission(request_id: str, body: dict[str, Any]) -> Submission:
+    """
+    Return a chat request as the model takes it.
+
+    ``standin_output_tokens`` sets the length of the answer; without it the
+    answer is as long as allowed.
+    """
+    text = prompt_text(body.get('messages', ()))
+    limit = int(body.get('max_tokens', 16))
+    wanted = int(body.get('standin_output_tokens', limit))
+    return Submission(
+        request_id=request_id,
+        prompt_tokens=max(1, len(text) // BYTES_PER_TOKEN),
+        output_tokens=max(1, min(limit, wanted)),
+        prefixes=prefix_hashes(text),
+        priority=int(body.get('priority', 5)),
+        route=str(body.get('model', '')),
+    )
+
+
+def _usage(record: Record) -> dict[str, int]:
+    """Return the engine's own count of an answer's tokens."""
+    return {
+        'prompt_tokens': record.submission.prompt_tokens,
+        'completion_tokens': record.tokens,
+    }
+
+
+def _to_chunk(text: str) -> bytes:
+    """Return one token as an event of the stream."""
+    return _to_event({'choices': [{'delta': {'content': text}}]})
+
+
+def _to_event(value: dict[str, Any]) -> bytes:
+    """Return a JSON object as an event."""
+    return b'data: ' + json.dumps(value).encode() + b'\n\n'
