--- a/fuchsiafork/messages/rollouts.py
+++ b/fuchsiafork/messages/rollouts.py
@@ -11,13 +11,21 @@
     """
     Evidence of one failure domain about a rollout's new version.
 
-    :ivar log_ratios: log likelihood ratio against the version, by test.
+    All counts are cumulative, so a lost report is made up for by the next.
+
+    :ivar section: digest of the rollout section the evidence is about.
+    :ivar node: holder id of the keeper's start that saw the requests.
+    :ivar log_ratios: log likelihood ratio against the version, by test and
+        alternative.
+    :ivar started: requests that went to the new version.
     :ivar observed: requests of the new version that ended.
     """
 
     rollout: str
+    section: str
     domain: str
     node: str
+    started: int
     observed: int
     failed: int
     log_ratios: dict[str, float]
--- /dev/null
+++ b/fuchsiafork/rollouts/__init__.py
@@ -0,0 +1,6 @@
+"""Rollouts: evidence, shares, verdicts and the loading of versions."""
+
+from fuchsiafork.rollouts.peers import MembershipPeers, Peers
+from fuchsiafork.rollouts.system import RolloutSystem
+
+__all__ = ('MembershipPeers', 'Peers', 'RolloutSystem')
--- /dev/null
+++ b/fuchsiafork/rollouts/evidence.py
@@ -0,0 +1,241 @@
+"""Evidence on one rollout: trials of this keeper and reports of others."""
+
+import collections
+import dataclasses
+import math
+
+from fuchsiafork.messages import Observation
+from fuchsiafork.rollouts.sequential import (
+    LOG_CONDEMN,
+    LOG_PROVEN,
+    ChangeTest,
+    log_mean,
+)
+from fuchsiafork.rollouts.trials import (
+    AFTER,
+    TESTS,
+    Baseline,
+    Criteria,
+    Ended,
+    alternatives,
+    score,
+)
+
+# Two failures close together; one failure alone is no reason to hold.
+_LOG_SUSPICION = 4.5
+# Trials that found no request of the old version beside them are dropped.
+_PENDING_S = 120.0
+_PENDING_BOUND = 64
+# Counts from a keeper that has been silent this long say nothing about now.
+_FRESH_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Source:
+    """
+    What one start of a keeper has reported.
+
+    :ivar log_ratios: cumulative, by test and number of the alternative.
+    :ivar received: local clock time of the last report, seconds.
+    """
+
+    domain: str
+    started: int = 0
+    observed: int = 0
+    failed: int = 0
+    log_ratios: dict[str, float] = dataclasses.field(default_factory=dict)
+    received: float = -math.inf
+
+
+class LocalTrials:
+    """Trials of the requests that this keeper saw."""
+
+    def __init__(self, criteria: Criteria) -> None:
+        """Start without requests."""
+        self.source = Source('')
+        self.baseline = Baseline()
+        self._criteria = criteria
+        # Trials with their provisional log ratios, one a test.
+        self._pending: collections.deque[tuple[Ended, list[float]]]
+        self._pending = collections.deque(maxlen=_PENDING_BOUND)
+        self.suspicion = 0.0
+
+    def add_old(self, now: float, observation: Observation) -> bool:
+        """Return whether a request of the old version completed a trial."""
+        self.baseline.add(Ended(now, observation))
+        return self.settle(now)
+
+    def add_new(self, now: float, observation: Observation) -> None:
+        """Add a request of the new version, to be compared when it can."""
+        self.source.observed += 1
+        self.source.failed += observation.failed
+        trial = Ended(now, observation)
+        self._pending.append((trial, self._provisional(trial)))
+        self._suspect()
+
+    @property
+    def suspect(self) -> bool:
+        """Whether requests of the old version are needed for comparison."""
+        return self.suspicion >= _LOG_SUSPICION
+
+    def settle(self, now: float) -> bool:
+        """Return whether trials got their comparison."""
+        open_before = len(self._pending)
+        settled = self._pop_settled(now)
+        if len(self._pending) != open_before:
+            self._suspect()
+        return settled
+
+    def _provisional(self, trial: Ended) -> list[float]:
+        """Return a trial's greatest log ratio by test, for the time being."""
+        ratios = (
+            score(test, trial, self.baseline, self._criteria)[1:]
+            for test in TESTS
+        )
+        return [max(row, default=0.0) for row in ratios]
+
+    def _suspect(self) -> None:
+        """Find the greatest evidence in the trials not yet compared."""
+        sums = [0.0 for _ in TESTS]
+        for _, ratios in self._pending:
+            sums = [
+                max(0.0, have + ratio)
+                for have, ratio in zip(sums, ratios, strict=True)
+            ]
+        self.suspicion = max(sums)
+
+    def _pop_settled(self, now: float) -> bool:
+        """Return whether open trials were counted; drop those too old."""
+        settled = False
+        while self._pending:
+            trial = self._pending[0][0]
+            ready = len(self.baseline.after(trial.time)) >= AFTER
+            if not ready and now - trial.time < _PENDING_S:
+                break
+            self._pending.popleft()
+            if ready:
+                self._count(trial)
+                settled = True
+        return settled
+
+    def _count(self, trial: Ended) -> None:
+        """Add a trial's log ratios to the cumulative ones."""
+        totals = self.source.log_ratios
+        for test in TESTS:
+            ratios = score(test, trial, self.baseline, self._criteria)
+            for number, ratio in enumerate(ratios):
+                name = f'{test}:{number}'
+                totals[name] = totals.get(name, 0.0) + ratio
+
+
+class Evidence:
+    """Merged evidence of all keepers, by test, for the fleet and domains."""
+
+    def __init__(self, criteria: Criteria) -> None:
+        """Start without reports."""
+        self.sources: dict[str, Source] = {}
+        self._sizes = {
+            test: len(alternatives(test, criteria)) for test in TESTS
+        }
+        self._fleet = {
+            test: ChangeTest(size) for test, size in self._sizes.items()
+        }
+        self._domains: dict[str, dict[str, ChangeTest]] = {}
+        self._worst = (0.0, TESTS[0])
+        self._proofs = 0.0
+
+    def merge(self, holder: str, report: Source) -> None:
+        """Take a keeper's cumulative report; older ones are ignored."""
+        known = self.sources.get(holder) or Source(report.domain)
+        behind = (report.started, report.observed) < (
+            known.started,
+            known.observed,
+        )
+        if behind:
+            return
+        self.sources[holder] = report
+        changed = report.log_ratios != known.log_ratios
+        if changed:
+            self._add_steps(report, known)
+            self._worst = max((self.log_evidence(test), test) for test in TESTS)
+            self._proofs = min(self._proof(test) for test in TESTS)
+
+    def log_evidence(self, test: str) -> float:
+        """
+        Return the evidence against the version in one test.
+
+        Half of it is the fleet's as a whole, so that sparse routes add up;
+        half is the mean over the failure domains, so that good domains do
+        not cover for a bad one.
+        """
+        fleet = self._fleet[test].log_evidence()
+        if not self._domains:
+            return fleet
+        domains = [
+            tests[test].log_evidence() for tests in self._domains.values()
+        ]
+        return log_mean((fleet, log_mean(domains)))
+
+    def worst(self) -> tuple[float, str]:
+        """Return the greatest evidence and its test."""
+        return self._worst
+
+    def proofs(self) -> float:
+        """Return how many times over the version is proven good."""
+        return self._proofs
+
+    def started(self) -> int:
+        """Return the requests that went to the version in the fleet."""
+        return sum(source.started for source in self.sources.values())
+
+    def observed(self) -> int:
+        """Return the requests of the version that ended in the fleet."""
+        return sum(source.observed for source in self.sources.values())
+
+    def in_flight(self, now: float) -> int:
+        """Return the version's requests in flight, by fresh reports."""
+        return sum(
+            source.started - source.observed
+            for source in self.sources.values()
+            if now - source.received < _FRESH_S
+        )
+
+    @property
+    def condemned(self) -> bool:
+        """Whether the evidence says that the version is bad."""
+        return self.worst()[0] >= LOG_CONDEMN
+
+    def _add_steps(self, report: Source, known: Source) -> None:
+        """Give the tests what a report adds to the one before it."""
+        for test, size in self._sizes.items():
+            names = [f'{test}:{number}' for number in range(size)]
+            step = [
+                report.log_ratios.get(name, 0.0)
+                - known.log_ratios.get(name, 0.0)
+                for name in names
+            ]
+            if any(step):
+                self._fleet[test].add(step)
+                self._domain(report.domain)[test].add(step)
+
+    def _proof(self, test: str) -> float:
+        """
+        Return the proofs of one test.
+
+        A test without trials (a service has no tokens) says nothing.
+        """
+        totals = [
+            source.log_ratios[f'{test}:0']
+            for source in self.sources.values()
+            if f'{test}:0' in source.log_ratios
+        ]
+        if not totals:
+            return 0 if test == TESTS[0] else math.inf
+        return -sum(totals) / LOG_PROVEN
+
+    def _domain(self, domain: str) -> dict[str, ChangeTest]:
+        """Return the tests of a failure domain."""
+        return self._domains.setdefault(
+            domain,
+            {test: ChangeTest(size) for test, size in self._sizes.items()},
+        )
--- /dev/null
+++ b/fuchsiafork/rollouts/spreading.py
@@ -0,0 +1,66 @@
+"""Sends evidence and verdicts to the other keepers."""
+
+from typing import Any
+
+from fuchsiafork.kernel import Context
+from fuchsiafork.messages import EvidenceReport, VerdictNotice
+from fuchsiafork.rollouts.peers import Peers
+from fuchsiafork.rollouts.row import RolloutRow
+from fuchsiafork.rollouts.verdicts import VerdictBook
+
+_INTERVAL_S = 0.25
+_IDLE_INTERVAL_S = 2.0
+
+
+class Spreader:
+    """Reports at bounded rates, and notices of verdicts."""
+
+    def __init__(
+        self,
+        context: Context,
+        peers: Peers,
+        book: VerdictBook,
+    ) -> None:
+        """Send to these peers what the rows and the book hold."""
+        self._context = context
+        self._peers = peers
+        self._book = book
+
+    def report(self, row: RolloutRow, *, urgent: bool = False) -> None:
+        """
+        Send this keeper's evidence if that is due.
+
+        While a version is unproven its few requests are reported at once.
+        """
+        now = self._context.clock.now()
+        at_once = row.dirty and (urgent or row.evidence.proofs() < 1)
+        if now < row.next_report and not at_once:
+            return
+        interval = _INTERVAL_S if row.dirty else _IDLE_INTERVAL_S
+        row.next_report = now + interval
+        self._send(row.report(), [*self._peers.near(), *self._peers.far()])
+
+    def relay(self, report: EvidenceReport, sender: str) -> None:
+        """Pass a report that came straight from another domain on in ours."""
+        direct = report.node.partition('#')[0] == sender
+        if direct and report.domain != self._context.identity.domain:
+            self._send(report, self._peers.near())
+
+    def send_notices(self, rollout: str, section: str) -> None:
+        """Send the verdicts on a rollout section to all peers."""
+        for known, verdict in self._book.entries(rollout):
+            if known == section:
+                notice = VerdictNotice(
+                    rollout=rollout,
+                    section=section,
+                    verdict=verdict.verdict,
+                    reason=verdict.reason,
+                    domain=verdict.domain,
+                    wall_ms=verdict.wall_ms,
+                )
+                self._send(notice, [*self._peers.near(), *self._peers.far()])
+
+    def _send(self, message: Any, nodes: list[str]) -> None:
+        """Queue a message for some keepers."""
+        for node in nodes:
+            self._context.outbox.send(node, message)
