Give late grants back and settle what no router holds

Change: late_reply's rule compares the kind of acknowledgement too; the fake holder asks routers what they hold, as AskOpenReservations does. Conclusion: a real holder needs the same question to live routers.

--- a/fuchsiafork/router/machine_late.py
+++ b/fuchsiafork/router/machine_late.py
@@ -13,9 +13,10 @@
     """
     Return what gives a late grant back, or None if it grants nothing.
 
-    The driver calls this for a reply whose request has ended, and only if it
-    holds no unacknowledged message with the reply's ``request_id``: a
-    settlement under way must not be overtaken by a cancellation.
+    The driver calls this for a reply whose request has ended. It drops the
+    result if it already repeats a message with the same ``request_id`` and
+    ``acknowledged_by``: a settlement under way must not be overtaken by a
+    cancellation.
     """
     return None
 
--- a/measurements/outcomes_fakes.py
+++ b/measurements/outcomes_fakes.py
@@ -8,16 +8,16 @@
 from fuchsiafork import messages
 from fuchsiafork.kernel import Context, System
 from fuchsiafork.kernel.errors import NoTargetError
+from fuchsiafork.router.machine_ids import start_of
+from measurements.outcomes_router import VirtualRouter
 from measurements.outcomes_targets import StandInTarget
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Reservation:
     """An open reservation."""
 
-    router: str
     key: str
-    target: str = ''
 
 
 class Ledger:
@@ -35,10 +35,10 @@
         self.duplicates: list[str] = []
         self._settled: set[str] = set()
 
-    def reserve(self, message: messages.Reserve, router: str) -> None:
+    def reserve(self, message: messages.Reserve) -> None:
         """Open a reservation once."""
         if message.request_id not in self._settled:
-            row = Reservation(router, message.key)
+            row = Reservation(message.key)
             self.open.setdefault(message.request_id, row)
 
     def settle(self, reservation_id: str, key: str, tokens: int) -> None:
@@ -54,20 +54,27 @@
         else:
             self.bills[key] = (reservation_id, tokens)
 
-    def close_router(
+    def close_lost(
         self,
-        router: str,
+        routers: dict[str, VirtualRouter],
         targets: dict[str, StandInTarget],
     ) -> None:
-        """Settle what a dead router left open from the targets' records."""
+        """
+        Settle what no router holds any more.
+
+        A live router's word cancels; for a dead one the targets' records
+        say what was used.
+        """
         for reservation_id, row in tuple(self.open.items()):
-            if row.router != router:
-                continue
-            found = [
-                target.record_of(reservation_id) or 0
-                for target in targets.values()
-            ]
-            self.settle(reservation_id, row.key, max(found))
+            router = routers.get(start_of(reservation_id))
+            if router is None:
+                found = [
+                    target.record_of(reservation_id) or 0
+                    for target in targets.values()
+                ]
+                self.settle(reservation_id, row.key, max(found))
+            elif not router.holds(reservation_id):
+                self.settle(reservation_id, reservation_id, 0)
 
 
 class FakeHolder(System):
@@ -86,7 +93,7 @@
 
     @handle.register
     def _(self, message: messages.Reserve, sender: str) -> None:
-        self._ledger.reserve(message, sender)
+        self._ledger.reserve(message)
         self._context.outbox.send(
             sender,
             messages.Reserved(
--- a/measurements/outcomes_router.py
+++ b/measurements/outcomes_router.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Generator
 from typing import Any
 
+from fuchsiafork import messages
 from fuchsiafork.kernel import (
     EventRing,
     FuchsiaforkError,
@@ -98,6 +99,12 @@
         name = self.identity.node.replace('/', '.')
         return f'{name}.{self.identity.incarnation}'
 
+    def holds(self, reservation_id: str) -> bool:
+        """Return whether a reservation is open, as a holder would ask."""
+        settling = (reservation_id, messages.SettleAccepted)
+        running = base_of(reservation_id) in self.jobs
+        return running or settling in self.unacknowledged
+
     def submit(self, request: kinds.Request, end: End, *, leaves: bool) -> str:
         """Return the id under which a request is served from now on."""
         request_id = self._ids.take()
@@ -183,9 +190,11 @@
     def _give_back(self, message: Any) -> None:
         """Give a grant back whose request has ended."""
         tell = late_reply(message)
-        waiting = {request_id for request_id, _ in self.unacknowledged}
-        if tell is not None and message.request_id not in waiting:
-            self._tell(tell)
+        if tell is None or tell.acknowledged_by is None:
+            return
+        if (message.request_id, tell.acknowledged_by) in self.unacknowledged:
+            return
+        self._tell(tell)
 
     def _tell(self, command: kinds.Tell) -> None:
         """Send a message, and again until it is acknowledged."""
--- a/measurements/outcomes_world.py
+++ b/measurements/outcomes_world.py
@@ -29,6 +29,7 @@
 DOMAINS = ('a', 'b', 'c')
 VMS_PER_DOMAIN = 3
 _TICK_S = 0.1
+_CLOSE_S = 1.0
 
 
 class Keeper:
@@ -95,6 +96,7 @@
             self.start_keeper(vm, domain)
         for vm, domain in vms:
             self.start_router(vm, domain)
+        self.close_lost()
 
     def start_keeper(self, vm: str, domain: str) -> None:
         """Start a keeper that knows all others, and they it."""
@@ -123,6 +125,9 @@
             _introduce(other, keeper)
         self.keepers[identity.node] = keeper
         self._connect(identity, keeper)
+        for router in self.routers.values():
+            if not router.keeper and router.identity.domain == domain:
+                self._attach(router)
 
     def start_router(self, vm: str, domain: str) -> None:
         """Start a router that is linked to a keeper."""
@@ -146,20 +151,12 @@
         self.network.kill(node)
         self._detach(node)
         router.kill()
-        close = functools.partial(
-            self.ledger.close_router,
-            node,
-            self.targets,
-        )
-        # A holder settles what a dead router left open once the calls in
-        # flight at the targets are over.
-        self.scheduler.call_later(min(restart_s, 1.0), close)
         start = functools.partial(
             self.start_router,
             router.identity.vm,
             router.identity.domain,
         )
-        self.scheduler.call_later(max(restart_s, 1.1), start)
+        self.scheduler.call_later(restart_s, start)
 
     def kill_keeper(self, node: str, restart_s: float) -> None:
         """Kill a keeper, move its routers, and start it again later."""
@@ -197,6 +194,12 @@
             keyed=self._keyed,
         )
 
+    def close_lost(self) -> None:
+        """Let the holders settle what no router holds, again and again."""
+        routers = {router.start: router for router in self.routers.values()}
+        self.ledger.close_lost(routers, self.targets)
+        self.scheduler.call_later(_CLOSE_S, self.close_lost)
+
     def _pick_router(self, domain: str) -> VirtualRouter | None:
         """Return a live router, mostly of the caller's own domain."""
         routers = list(self.routers.values())
