--- a/fuchsiafork/membership/system.py
+++ b/fuchsiafork/membership/system.py
@@ -83,6 +83,14 @@
             messages.HeartbeatAck(self._context.identity.node, message.stamp),
         )
 
+    @handle.register
+    def _(self, message: messages.HeartbeatAck, sender: str) -> None:
+        # A keeper of another domain may not send heartbeats here, for it
+        # has chosen other gateways; its answers show that it is live.
+        member = self.members.get(message.node)
+        if member is not None:
+            member.last_heard = self._context.clock.now()
+
     @handle.register
     def _(self, message: messages.Goodbye, sender: str) -> None:
         member = self.members.get(message.node)
