Add random fault runs and the check that grants cover promises

Cause: negative grants hid a spend that no grant covered from the ledger's check. Change: settled + duplicate alone is checked against prepaid; a holder checks its own promises against its grant at each record it adopts.

--- a/fuchsiafork/budgets/ledger.py
+++ b/fuchsiafork/budgets/ledger.py
@@ -171,10 +171,12 @@
     Check every budget of a record before it is written.
 
     :raises InvariantViolationError: if settled + duplicate + sum of grants
-        is over prepaid.
+        is over prepaid, or settled + duplicate alone, which negative grants
+        would hide.
     """
     for name, row in record.budgets.items():
-        bound = row.settled + row.duplicate + sum(row.grants.values())
+        spent = row.settled + row.duplicate
+        bound = spent + max(0, sum(row.grants.values()))
         if bound > row.prepaid:
             raise InvariantViolationError(
                 f'budget {name!r}: {bound!r} over prepaid {row.prepaid!r}',
--- a/fuchsiafork/budgets/sync.py
+++ b/fuchsiafork/budgets/sync.py
@@ -297,6 +297,21 @@
             if other.base == revision
         }
         adopt_transfers(tables, shard, shard.synced_at)
+        self._check_promises(shard)
+
+    def _check_promises(self, shard: Shard) -> None:
+        """Check that this holder's grants cover what it has promised."""
+        for state in self._tables.budgets.values():
+            grant = state.granted(self._tables.holder) + state.moved
+            promised = state.reserved + state.unwritten
+            if state.shard is shard:
+                self._context.invariants.check(
+                    'grant_covers_promises',
+                    promised <= grant,
+                    budget=state.name,
+                    grant=grant,
+                    promised=promised,
+                )
 
     def _resolve(self, attempt: Attempt) -> None:
         """Note what a write that took effect has made durable."""
--- a/measurements/budgets.py
+++ b/measurements/budgets.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 from measurements.budgets_demand import Plan, best_split, draw_plan, replay
+from measurements.budgets_faults import run_faults
 from measurements.budgets_fleet import Fleet, Request
 
 WARM_UP_S = 5.0
 DRAIN_S = 12.0
+FAULT_STEPS = 200
 # Aim of the design page for the refusals above the bound in partitions.
 EXCESS_SHARE = 0.005
 
@@ -23,7 +25,7 @@
     partition.cut = chance.choice([*partition.layout])
     name = chance.choice([*partition.budgets][:-3])
     partition.top_up = (40, name, partition.budgets[name] // 2)
-    results = {
+    results: dict[str, Any] = {
         'connected': _measure(connected, seed),
         'partition': _measure(partition, seed),
         'outage': _measure(outage, seed),
@@ -32,6 +34,8 @@
     held = held and results['connected']['false_refusals'] == 0
     part = results['partition']
     held = held and part['excess_share'] <= EXCESS_SHARE
+    results['faults'] = run_faults(seed, FAULT_STEPS)
+    held = held and not results['faults']['problems']
     return results, held
 
 
@@ -58,7 +62,7 @@
         'refused': len(fleet.refused),
         'false_refusals': false,
         'false_refusal_share': round(false / len(plan.requests), 5),
-        'withheld_tokens_end': _withheld(fleet),
+        'withheld_tokens_end': fleet.withheld(),
         'kv_writes_per_s': round((_calls(fleet)[0] - writes) / seconds, 1),
         'kv_reads_per_s': round((_calls(fleet)[1] - reads) / seconds, 1),
         'baseline_static_split': _static_split(plan),
@@ -104,17 +108,6 @@
     return fleet.store.calls['write'], fleet.store.calls['read']
 
 
-def _withheld(fleet: Fleet) -> int:
-    """Return tokens in grants of holders that no longer run."""
-    live = {keeper.holder.tables.holder for keeper in fleet.keepers.values()}
-    return sum(
-        max(0, tokens)
-        for row in fleet.rows().values()
-        for holder, tokens in row.grants.items()
-        if holder not in live
-    )
-
-
 def _by_budget(plan: Plan) -> dict[str, list[Request]]:
     """Return copies of the requests of each budget."""
     rows: dict[str, list[Request]] = {name: [] for name in plan.budgets}
--- a/measurements/budgets_fleet.py
+++ b/measurements/budgets_fleet.py
@@ -362,6 +362,16 @@
                 found.update(ledger.decode_record(row.value).budgets)
         return found
 
+    def withheld(self) -> int:
+        """Return tokens in grants of holders that no longer run."""
+        live = {keeper.holder.tables.holder for keeper in self.keepers.values()}
+        return sum(
+            max(0, tokens)
+            for row in self.rows().values()
+            for holder, tokens in row.grants.items()
+            if holder not in live
+        )
+
     def _check_spend(self, budget: str) -> None:
         """Note the greatest spend over the prepaid budget."""
         over = self.target.spent[budget] - self.prepaid[budget]
