Watch the platform and name every process to operators

Cause: keepers read the head of the configuration only at an interval, knew nothing of leaving VMs, and no process could tell operators of the others; a failed start of the process tests left threads behind, and the suite hung. Change: one watch of the head per failure domain, reads of the VM list, admin addresses in heartbeats, events in the form that the time line reads, and cleanups that also run after a failed start. Conclusion: operators' tools find every process from one address.

--- a/fuchsiafork/budgets/holder.py
+++ b/fuchsiafork/budgets/holder.py
@@ -241,7 +241,9 @@
                 held.budget,
                 self.tables.holder,
                 min(message.tokens, held.tokens),
-                message.key or held.request_id,
+                # A request that used nothing leaves the key's one bill to
+                # the retry that ran.
+                (held.key if message.tokens else '') or held.request_id,
                 held.router,
             )
             self.tables.settle(settlement, self._context.clock.now())
@@ -381,6 +383,7 @@
                 row.router,
                 message.tokens,
                 now,
+                key=message.key,
             )
             tables.reservations[name] = held
             tables.budget(message.budget, now).reserved += held.tokens
--- a/fuchsiafork/budgets/tables.py
+++ b/fuchsiafork/budgets/tables.py
@@ -101,6 +101,7 @@
 
     :ivar made_at: local clock time.
     :ivar target: target that got the request, empty before StartUse.
+    :ivar key: digest of the idempotency key, empty for none.
     """
 
     request_id: str
@@ -111,6 +112,7 @@
     made_at: float
     target: str = ''
     asked_target_at: float = -1e9
+    key: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/fuchsiafork/keeper/composition.py
+++ b/fuchsiafork/keeper/composition.py
@@ -47,6 +47,7 @@
                 'rollout-targets',
                 RolloutTargets(
                     self.context,
+                    self.membership,
                     self.rollouts,
                     self.dispatch,
                     lambda: self.document.versions,
@@ -98,6 +99,7 @@
             'digest': self.configuration.copy.digest,
             'live': self.membership.live(),
             'domains': self.membership.domains(),
+            'admins': self.membership.admins(),
             'routers': sorted(self.membership.local_routers),
             'members': [
                 {
@@ -117,6 +119,7 @@
     def __init__(
         self,
         context: Context,
+        membership: MembershipSystem,
         rollouts: RolloutSystem,
         dispatch: DispatchSystem,
         versions: Callable[[], Iterable[str]],
@@ -124,6 +127,7 @@
         """Count the dispatch's targets for the rollouts."""
         super().__init__(context)
         self._versions = versions
+        self._membership = membership
         self._rollouts = rollouts
         self._dispatch = dispatch
 
@@ -139,7 +143,8 @@
             if row.is_usable(now, wall):
                 version = row.version or row.section.version
                 counts[version] = counts.get(version, 0) + 1
-        for version, count in counts.items():
+        self._membership.verdicts = self._rollouts.verdict_count
+        for version, count in sorted(counts.items()):
             self._rollouts.set_available(version, count)
 
 
--- a/fuchsiafork/keeper/program.py
+++ b/fuchsiafork/keeper/program.py
@@ -13,6 +13,7 @@
 from fuchsiafork.keeper.composition import Systems, make_systems
 from fuchsiafork.keeper.metrics import KeeperMetrics
 from fuchsiafork.keeper.node import KeeperNode
+from fuchsiafork.keeper.platform import PlatformWatch
 from fuchsiafork.keeper.polling import TargetPoller
 from fuchsiafork.keeper.records import RecordReader
 from fuchsiafork.keeper.runtime import KeeperRuntime, StoreExecutor
@@ -90,6 +91,12 @@
             self.hub,
             self._store,
         )
+        self._watch = PlatformWatch(
+            self.systems,
+            settings.store,
+            settings.vm_list,
+            self.runtime.act,
+        )
         self.metrics = KeeperMetrics(
             self.systems.gauges,
             self.hub.counters,
@@ -98,6 +105,8 @@
         self._admin = AdminServer(
             *_split(section.admin),
             Probe(
+                node=self.identity.node,
+                incarnation=self.identity.incarnation,
                 ready=self._is_ready,
                 status=self._status,
                 events=self.events,
@@ -143,12 +152,14 @@
         await server.start(host, port)
         dialer = Dialer(self.hub, random.Random(secrets.randbits(64)))
         self.hub.changed = self._note_links
+        self._note_links()
         self._admin.start()
         self.events.record('keeper_started', listen=self._settings.listen)
         tasks = [
             asyncio.create_task(self.runtime.run(self._ended.is_set)),
             asyncio.create_task(self._keep_dialing(dialer)),
             asyncio.create_task(self._poll_targets()),
+            asyncio.create_task(self._watch.run(self._ended.is_set)),
         ]
         while not self._stop.is_set():
             await asyncio.sleep(_STEP_S)
@@ -237,6 +248,11 @@
             for link in self.hub.links.values()
             if link.hello.role == 'router'
         }
+        membership.local_admins = {self._settings.admin} | {
+            link.hello.admin
+            for link in self.hub.links.values()
+            if link.hello.role == 'router'
+        }
         for link in self.hub.links.values():
             if link.hello.role == 'keeper':
                 membership.introduce(link.hello)
@@ -250,6 +266,7 @@
             incarnation=self.identity.incarnation,
             address=address,
             token=self._settings.token.get_secret_value(),
+            admin=self._settings.admin,
         )
 
     def _is_ready(self) -> bool:
--- a/fuchsiafork/keeper/runtime.py
+++ b/fuchsiafork/keeper/runtime.py
@@ -61,6 +61,11 @@
         )
         self.flush()
 
+    def act(self, action: Callable[[], None]) -> None:
+        """Run an action on the node's systems and carry out its effects."""
+        action()
+        self.flush()
+
     async def run(self, stopped: Callable[[], bool]) -> None:
         """Tick until stopped."""
         while not stopped():
--- a/fuchsiafork/membership/system.py
+++ b/fuchsiafork/membership/system.py
@@ -37,6 +37,7 @@
     last_heard: float
     verdicts: int = 0
     introduced_at: float = 0.0
+    admins: tuple[str, ...] = ()
 
     @property
     def vm(self) -> str:
@@ -59,6 +60,7 @@
         super().__init__(context)
         self.members: dict[str, Member] = {}
         self.local_routers: set[str] = set()
+        self.local_admins: set[str] = set()
         self.revision = 0
         self.verdicts = 0
         self.leaving = False
@@ -89,6 +91,7 @@
             routers=message.routers,
             last_heard=self._context.clock.now(),
             verdicts=message.verdicts,
+            admins=message.admins,
         )
         self._context.outbox.send(
             message.node,
@@ -162,6 +165,13 @@
         wanted = self._heartbeat_targets()
         return {self.members[node].address for node in wanted}
 
+    def admins(self) -> list[str]:
+        """Return the known admin addresses of all processes."""
+        found = set(self.local_admins)
+        for member in self.members.values():
+            found.update(member.admins)
+        return sorted(found)
+
     def live(self, domain: str = '') -> list[str]:
         """
         Return the live keepers of a domain (of this one by default).
@@ -257,6 +267,7 @@
             routers=tuple(sorted(self.local_routers)),
             address=self._address,
             stamp=now,
+            admins=tuple(sorted(self.local_admins)),
         )
 
     def _heartbeat_targets(self) -> list[str]:
--- a/fuchsiafork/messages/links.py
+++ b/fuchsiafork/messages/links.py
@@ -14,6 +14,7 @@
     :ivar role: ``keeper`` or ``router``.
     :ivar address: ``ip:port`` where a keeper accepts links, else empty.
     :ivar token: shared secret of the fleet.
+    :ivar admin: ``ip:port`` of the process's admin pages.
     """
 
     node: str
@@ -22,6 +23,7 @@
     incarnation: str
     address: str
     token: str
+    admin: str = ''
 
 
 @message
@@ -34,6 +36,7 @@
     :ivar leaving: whether the process is shutting down.
     :ivar verdicts: number of rollout verdicts known.
     :ivar routers: node ids of the routers that the keeper serves.
+    :ivar admins: admin addresses of the keeper and of its routers.
     :ivar stamp: send time on the sender's clock in seconds, echoed in
         the acknowledgement.
     """
@@ -47,6 +50,7 @@
     routers: tuple[str, ...]
     address: str
     stamp: float
+    admins: tuple[str, ...] = ()
 
 
 @message
--- a/fuchsiafork/router/program.py
+++ b/fuchsiafork/router/program.py
@@ -91,6 +91,7 @@
                 incarnation=identity.incarnation,
                 address='',
                 token=settings.router.token.get_secret_value(),
+                admin=settings.router.admin,
             ),
             settings.router.keepers,
         )
@@ -105,6 +106,8 @@
         self._admin = AdminServer(
             *_split(settings.router.admin),
             Probe(
+                node=identity.node,
+                incarnation=identity.incarnation,
                 ready=self._is_ready,
                 status=self._status,
                 events=self.events,
@@ -204,6 +207,8 @@
             'role': 'router',
             'ready': self._is_ready(),
             'revision': directory.revision if directory else 0,
+            'digest': self.node.configuration.copy.digest,
+            'admins': [],
             'open_requests': len(self.application.open_requests),
             'unacknowledged': self.node.unacknowledged,
         }
--- a/measurements/rollouts_fleet.py
+++ b/measurements/rollouts_fleet.py
@@ -9,6 +9,7 @@
 
 from fuchsiafork.configuration import (
     Document,
+    Kind,
     Pool,
     Rollout,
     Version,
@@ -342,7 +343,7 @@
         return dt.datetime.fromtimestamp(wall + seconds, dt.UTC)
 
     return Document(
-        pools={'engines': Pool(owner='ops', kind='engine')},
+        pools={'engines': Pool(owner='ops', kind=Kind.ENGINE)},
         versions={
             name: Version(owner='ops', pool='engines')
             for route in routes
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -30,6 +30,7 @@
     def setUpClass(cls) -> None:
         """Start stand-ins and programs."""
         cls.targets = Targets()
+        cls.addClassCleanup(cls.targets.stop)
         for domain in ('a', 'b'):
             cls.targets.add_engine(
                 f'engine-{domain}',
@@ -38,17 +39,12 @@
             )
             cls.targets.add_service(f'orders-{domain}', domain)
         cls.fleet = ProcessFleet(make_vms(['a', 'b'], 2))
+        cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start()
         sections = base_sections(cls.targets, {'bakers': 100_000, 'poor': 40})
         apply_sections(cls.fleet.store.url, sections)
         cls.fleet.wait_ready()
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """End everything that was started."""
-        cls.fleet.stop()
-        cls.targets.stop()
-
     def test_answers_are_whole_and_their_own(self) -> None:
         """Guards against truncated and crossed answers under load."""
         caller = CallerClient('bakers')
@@ -99,7 +95,9 @@
         answer = CallerClient('bakers').chat(vm.url, 'label', 3)
         request_id = answer.headers['X-Request-Id']
         pool = urllib3.PoolManager()
-        events = pool.request('GET', f'http://{vm.router_admin}/events').json()
+        events = pool.request('GET', f'http://{vm.router_admin}/events').json()[
+            'events'
+        ]
         kinds = [
             event['kind']
             for event in events
