--- /dev/null
+++ b/fuchsiafork/operator_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Program ``fuchsiafork``: the operators' commands."""
--- /dev/null
+++ b/fuchsiafork/operator_cli/rollouts.py
@@ -0,0 +1,136 @@
+"""Commands on rollouts."""
+
+import datetime as dt
+import json
+from typing import Any
+
+import cyclopts
+
+from fuchsiafork.configuration import parse_document
+from fuchsiafork.kernel.errors import StoreUnavailableError
+from fuchsiafork.kernel.outbox import ListKeys, StoreFailed
+from fuchsiafork.operator_cli.config import apply_change, report_change
+from fuchsiafork.operator_cli.edits import add_section, set_keys
+from fuchsiafork.operator_cli.lookup import owner_of, section_of
+from fuchsiafork.operator_cli.options import (
+    Admin,
+    AsJson,
+    ChangeOptions,
+    StoreOptions,
+)
+from fuchsiafork.operator_cli.output import Exit, show_rows
+
+VERDICT_PREFIX = 'verdicts/'
+
+app = cyclopts.App(name='rollout', help='Show, start and end rollouts.')
+
+
+@app.command
+def show(*, store: StoreOptions, json_form: AsJson = False) -> int:
+    """Show every rollout with its verdict."""
+    document = parse_document(store.document().read().text)
+    verdicts = _read_verdicts(store)
+    rows = [
+        {
+            'rollout': name,
+            'route': rollout.route,
+            'old': rollout.old,
+            'new': rollout.new,
+            'start': rollout.start.isoformat(),
+            'deadline': rollout.deadline.isoformat(),
+            'take_back': rollout.take_back,
+            'verdict': verdicts.get(name, ''),
+        }
+        for name, rollout in document.rollouts.items()
+    ]
+    show_rows(rows, as_json=json_form)
+    return Exit.OK
+
+
+@app.command
+def start(
+    name: str,
+    *,
+    route: str,
+    new: str,
+    deadline: dt.datetime,
+    store: StoreOptions,
+    at: dt.datetime | None = None,
+    by: ChangeOptions | None = None,
+    admin: Admin = (),
+    wait: float = 0,
+    json_form: AsJson = False,
+) -> int:
+    """
+    Move a route from its version to another.
+
+    :param name: name of the new rollout section.
+    :param route: route that moves.
+    :param new: version that it moves to.
+    :param deadline: time by which it has moved.
+    :param at: time from which the new version gets requests; now if absent.
+    :param wait: seconds to wait until all processes have it in force.
+    """
+    document = parse_document(store.document().read().text)
+    moved = section_of(document.routes, 'route', route)
+    given = by or ChangeOptions()
+    wanted = {
+        'owner': moved.owner,
+        'route': route,
+        'old': moved.version,
+        'new': new,
+        'start': _utc(at or dt.datetime.now(dt.UTC)),
+        'deadline': _utc(deadline),
+    }
+    edit = add_section(f'rollout:{name}', wanted)
+    done = apply_change(store, given.change(moved.owner), edit)
+    return report_change(done, admin, wait, as_json=json_form)
+
+
+@app.command
+def take_back(
+    name: str,
+    *,
+    store: StoreOptions,
+    by: ChangeOptions | None = None,
+    admin: Admin = (),
+    wait: float = 0,
+    json_form: AsJson = False,
+) -> int:
+    """
+    End a rollout by hand; its route goes back to the old version.
+
+    :param name: name of the rollout section.
+    :param wait: seconds to wait until all processes have it in force.
+    """
+    title = f'rollout:{name}'
+    owner = owner_of(store.document().read().sections, title)
+    edit = set_keys(title, {'take_back': 'true'})
+    change = (by or ChangeOptions()).change(owner)
+    done = apply_change(store, change, edit)
+    return report_change(done, admin, wait, as_json=json_form)
+
+
+def _read_verdicts(store: StoreOptions) -> dict[str, Any]:
+    """Return the recorded verdicts by rollout."""
+    answer = store.connect().execute(ListKeys(VERDICT_PREFIX, 'operator'))
+    if isinstance(answer, StoreFailed):
+        raise StoreUnavailableError(f'no answer for {VERDICT_PREFIX!r}')
+    return {
+        key.removeprefix(VERDICT_PREFIX): _decode(value)
+        for key, _, value in answer.rows
+    }
+
+
+def _decode(raw: bytes) -> Any:
+    """Return a stored JSON value, or its text."""
+    try:
+        return json.loads(raw)
+    except ValueError:
+        return raw.decode(errors='replace')
+
+
+def _utc(moment: dt.datetime) -> str:
+    """Return a time as the document holds it; one without zone is UTC."""
+    zoned = moment if moment.tzinfo else moment.replace(tzinfo=dt.UTC)
+    return zoned.astimezone(dt.UTC).isoformat(timespec='seconds')
--- /dev/null
+++ b/fuchsiafork/operator_cli/targets.py
@@ -0,0 +1,146 @@
+"""Commands on targets."""
+
+import datetime as dt
+import json
+import time
+
+import cyclopts
+
+from fuchsiafork.configuration import parse_document
+from fuchsiafork.kernel.errors import (
+    ConfigurationConflictError,
+    StoreUnavailableError,
+)
+from fuchsiafork.kernel.outbox import ReadKey, StoreFailed
+from fuchsiafork.operator_cli.config import apply_change, report_change
+from fuchsiafork.operator_cli.edits import set_keys
+from fuchsiafork.operator_cli.lookup import owner_of, section_of
+from fuchsiafork.operator_cli.options import (
+    Admin,
+    AsJson,
+    ChangeOptions,
+    StoreOptions,
+)
+from fuchsiafork.operator_cli.output import Exit, show_rows
+
+ORDER_PREFIX = 'orders/'
+
+app = cyclopts.App(name='target', help='List, drain and order targets.')
+
+
+@app.command(name='list')
+def list_targets(*, store: StoreOptions, json_form: AsJson = False) -> int:
+    """Show every target of the document."""
+    document = parse_document(store.document().read().text)
+    rows = [
+        {
+            'target': name,
+            'domain': target.domain,
+            'pool': document.versions[target.version].pool,
+            'version': target.version,
+            'capacity': target.capacity,
+            'drain_at': target.drain_at and target.drain_at.isoformat(),
+            'url': target.url,
+        }
+        for name, target in document.targets.items()
+    ]
+    show_rows(rows, as_json=json_form)
+    return Exit.OK
+
+
+@app.command
+def drain(
+    name: str,
+    *,
+    store: StoreOptions,
+    at: dt.datetime | None = None,
+    by: ChangeOptions | None = None,
+    admin: Admin = (),
+    wait: float = 0,
+    json_form: AsJson = False,
+) -> int:
+    """
+    Give a target no new work from a time on.
+
+    :param name: name of the target section.
+    :param at: the time; now if absent.
+    :param wait: seconds to wait until all processes have it in force.
+    """
+    title = f'target:{name}'
+    owner = owner_of(store.document().read().sections, title)
+    moment = (at or dt.datetime.now(dt.UTC)).astimezone(dt.UTC)
+    wanted = {'drain_at': moment.isoformat(timespec='seconds')}
+    change = (by or ChangeOptions()).change(owner)
+    done = apply_change(store, change, set_keys(title, wanted))
+    return report_change(done, admin, wait, as_json=json_form)
+
+
+@app.command
+def order(
+    name: str,
+    version: str,
+    *,
+    store: StoreOptions,
+    by: ChangeOptions | None = None,
+    json_form: AsJson = False,
+) -> int:
+    """
+    Record the order that a target loads a version.
+
+    The revision of the record is the order's fencing number.
+
+    :param name: name of the target section.
+    :param version: version to load, of the pool that the target serves.
+    """
+    document = parse_document(store.document().read().text)
+    target = section_of(document.targets, 'target', name)
+    wanted = section_of(document.versions, 'version', version)
+    pool = document.versions[target.version].pool
+    if wanted.pool != pool:
+        raise ConfigurationConflictError(
+            f'{version!r} is not a version of {pool!r}',
+        )
+    fence = _write_order(store, name, version, by or ChangeOptions())
+    show_rows(
+        [{'target': name, 'version': version, 'fencing_number': fence}],
+        as_json=json_form,
+    )
+    return Exit.OK
+
+
+def _write_order(
+    store: StoreOptions,
+    name: str,
+    version: str,
+    by: ChangeOptions,
+) -> int:
+    """Return the revision of the order after writing it once."""
+    client = store.connect()
+    key = f'{ORDER_PREFIX}{name}'
+    present = client.execute(ReadKey(key, 'operator'))
+    if isinstance(present, StoreFailed):
+        raise StoreUnavailableError(f'no answer for {key!r}')
+    if _order_id(present.value) == by.change_id:
+        return int(present.revision)
+    record = {
+        'order_id': by.change_id,
+        'version': version,
+        'author': by.author,
+        'wall_s': time.time(),
+    }
+    succeeded, fence = client.swap(
+        key,
+        present.revision,
+        json.dumps(record).encode(),
+    )
+    if not succeeded:
+        raise ConfigurationConflictError(f'another order for {name!r} came')
+    return fence
+
+
+def _order_id(raw: bytes | None) -> str:
+    """Return the id of a recorded order, empty if there is none."""
+    try:
+        return str(json.loads(raw or b'{}').get('order_id', ''))
+    except (ValueError, AttributeError):
+        return ''
