--- a/fuchsiafork/operator_cli/targets.py
+++ b/fuchsiafork/operator_cli/targets.py
@@ -9,9 +9,7 @@
 from fuchsiafork.configuration import parse_document
 from fuchsiafork.kernel.errors import (
     ConfigurationConflictError,
-    StoreUnavailableError,
 )
-from fuchsiafork.kernel.outbox import ReadKey, StoreFailed
 from fuchsiafork.operator_cli.config import apply_change, report_change
 from fuchsiafork.operator_cli.edits import set_keys
 from fuchsiafork.operator_cli.lookup import owner_of, section_of
@@ -22,6 +20,7 @@
     StoreOptions,
 )
 from fuchsiafork.operator_cli.output import Exit, show_rows
+from fuchsiafork.operator_cli.swaps import change_value
 
 ORDER_PREFIX = 'orders/'
 
@@ -115,27 +114,18 @@
     by: ChangeOptions,
 ) -> int:
     """Return the revision of the order after writing it once."""
-    client = store.connect()
-    key = f'{ORDER_PREFIX}{name}'
-    present = client.execute(ReadKey(key, 'operator'))
-    if isinstance(present, StoreFailed):
-        raise StoreUnavailableError(f'no answer for {key!r}')
-    if _order_id(present.value) == by.change_id:
-        return int(present.revision)
     record = {
         'order_id': by.change_id,
         'version': version,
         'author': by.author,
         'wall_s': time.time(),
     }
-    succeeded, fence = client.swap(
-        key,
-        present.revision,
-        json.dumps(record).encode(),
+    encoded = json.dumps(record).encode()
+    return change_value(
+        store.connect(),
+        f'{ORDER_PREFIX}{name}',
+        lambda raw: None if _order_id(raw) == by.change_id else encoded,
     )
-    if not succeeded:
-        raise ConfigurationConflictError(f'another order for {name!r} came')
-    return fence
 
 
 def _order_id(raw: bytes | None) -> str:
