Read the admin answers in the form that the programs give

The programs answer /events with a list of at most 1,000 events and tell their incarnation in /status only, and routers tell no digest. The time line now reads a ring in several answers and starts again from 0 when a process's incarnation changed. rollout show lists the verdicts of the newest section in the record that the rollouts keep.

--- a/fuchsiafork/operator_cli/rollouts.py
+++ b/fuchsiafork/operator_cli/rollouts.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 import json
+import operator
 from typing import Any
 
 import cyclopts
@@ -27,7 +28,7 @@
 
 @app.command
 def show(*, store: StoreOptions, json_form: AsJson = False) -> int:
-    """Show every rollout with its verdict."""
+    """Show every rollout with the last verdicts of the failure domains."""
     document = parse_document(store.document().read().text)
     verdicts = _read_verdicts(store)
     rows = [
@@ -39,7 +40,7 @@
             'start': rollout.start.isoformat(),
             'deadline': rollout.deadline.isoformat(),
             'take_back': rollout.take_back,
-            'verdict': verdicts.get(name, ''),
+            'last_verdicts': verdicts.get(name, []),
         }
         for name, rollout in document.rollouts.items()
     ]
@@ -111,23 +112,33 @@
     return report_change(done, admin, wait, as_json=json_form)
 
 
-def _read_verdicts(store: StoreOptions) -> dict[str, Any]:
+def _read_verdicts(store: StoreOptions) -> dict[str, list[str]]:
     """Return the recorded verdicts by rollout."""
     answer = store.connect().execute(ListKeys(VERDICT_PREFIX, 'operator'))
     if isinstance(answer, StoreFailed):
         raise StoreUnavailableError(f'no answer for {VERDICT_PREFIX!r}')
     return {
-        key.removeprefix(VERDICT_PREFIX): _decode(value)
+        key.removeprefix(VERDICT_PREFIX): _last_verdicts(value)
         for key, _, value in answer.rows
     }
 
 
-def _decode(raw: bytes) -> Any:
-    """Return a stored JSON value, or its text."""
+def _last_verdicts(raw: bytes) -> list[str]:
+    """
+    Return the verdicts on the newest section with one; none if unreadable.
+
+    A record also keeps verdicts on earlier forms of the section.
+    """
     try:
-        return json.loads(raw)
-    except ValueError:
-        return raw.decode(errors='replace')
+        rows: list[dict[str, Any]] = json.loads(raw)
+        newest = max(rows, key=operator.itemgetter('wall_ms'))['section']
+        return [
+            f'{row["verdict"]} in {row["domain"]}'
+            for row in rows
+            if row['section'] == newest
+        ]
+    except (ValueError, TypeError, KeyError):
+        return []
 
 
 def _utc(moment: dt.datetime) -> str:
--- a/fuchsiafork/timeline/__main__.py
+++ b/fuchsiafork/timeline/__main__.py
@@ -17,6 +17,7 @@
 EXIT_SILENT = 4
 
 _POLL_S = 1.0
+_ROUNDS = 16
 # A poll may take its time-out; events that are held longer come in order.
 _HOLD_S = 3.0
 
@@ -69,7 +70,10 @@
     """Return the exit code after showing the events kept now."""
     merger = Merger(limit, hold_s=0)
     collector.discover()
-    _collect(collector, selection, merger, 0)
+    # A ring of 4,096 events comes in a few answers of bounded length.
+    for _ in range(_ROUNDS):
+        if not _collect(collector, selection, merger, 0):
+            break
     for event in merger.release(0):
         show(event)
     _report_gaps(collector, merger)
@@ -101,11 +105,14 @@
     selection: Selection,
     merger: Merger,
     now: float,
-) -> None:
-    """Move the wanted new events into the merger."""
+) -> int:
+    """Return the number of new events, after merging the wanted ones."""
+    count = 0
     for event in collector.poll():
+        count += 1
         if selection.matches(event):
             merger.add(event, now)
+    return count
 
 
 def _report_gaps(collector: Collector, merger: Merger) -> None:
--- a/fuchsiafork/timeline/admin.py
+++ b/fuchsiafork/timeline/admin.py
@@ -6,13 +6,7 @@
 
 import urllib3
 
-from fuchsiafork.timeline.replies import (
-    StatusReply,
-    decode_events,
-    decode_status,
-)
-
-__all__ = ('AdminClient', 'decode_events')
+from fuchsiafork.timeline.replies import StatusReply, decode_status
 
 # Bounds the memory that answers take: 16 at once, each under 8 MiB.
 _PARALLEL = 16
--- a/fuchsiafork/timeline/collect.py
+++ b/fuchsiafork/timeline/collect.py
@@ -5,7 +5,7 @@
 
 from fuchsiafork.kernel.events import Event
 from fuchsiafork.timeline.admin import AdminClient
-from fuchsiafork.timeline.replies import EventsReply, decode_events
+from fuchsiafork.timeline.replies import StatusReply, decode_events
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,6 +22,13 @@
     since: int = 0
     answered: bool = False
 
+    def identify(self, status: StatusReply) -> None:
+        """Read from the start again when the process was restarted."""
+        if self.incarnation not in {'', status.incarnation}:
+            self.since = 0
+        self.node = status.node
+        self.incarnation = status.incarnation
+
 
 class Collector:
     """
@@ -38,20 +45,25 @@
 
     def discover(self) -> None:
         """Add the processes that the known ones know."""
-        for address in self._client.discover(self.sources):
-            self.sources.setdefault(address, Source())
+        for address, status in self._client.discover(self.sources).items():
+            source = self.sources.setdefault(address, Source())
+            if status is not None:
+                source.identify(status)
 
     def poll(self) -> Iterator[Event]:
-        """Yield the events that are new since the last poll."""
+        """Yield events that are new; an answer may leave some for later."""
         paths = [
             (address, f'/events?since={source.since}')
             for address, source in self.sources.items()
         ]
-        for address, reply in self._client.ask_all(paths, decode_events):
+        for address, events in self._client.ask_all(paths, decode_events):
             source = self.sources[address]
-            source.answered = reply is not None
-            if reply is not None:
-                yield from self._take(source, reply)
+            source.answered = events is not None
+            for event in events or ():
+                if source.since:
+                    self.missed += event.number - source.since - 1
+                source.since = event.number
+                yield event
 
     def silent(self) -> list[str]:
         """Return the processes that did not answer the last poll."""
@@ -60,20 +72,3 @@
             for address, source in self.sources.items()
             if not source.answered
         )
-
-    def _take(self, source: Source, reply: EventsReply) -> Iterator[Event]:
-        """Yield the new events of one answer."""
-        if reply.incarnation != source.incarnation:
-            # A restarted process counts from 1 again; what it recorded
-            # below the old number comes with the next poll.
-            restarted = bool(source.incarnation)
-            source.node = reply.node
-            source.incarnation = reply.incarnation
-            if restarted:
-                source.since = 0
-                return
-        for event in reply.events:
-            if source.since:
-                self.missed += event.number - source.since - 1
-            source.since = event.number
-            yield event
--- a/fuchsiafork/timeline/replies.py
+++ b/fuchsiafork/timeline/replies.py
@@ -10,10 +10,10 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusReply:
     """
-    Answer to ``GET /status``.
+    Answer to ``GET /status``, as far as it is used here.
 
     :ivar revision: configuration revision in force.
-    :ivar digest: digest of that revision.
+    :ivar digest: digest of that revision, empty where it is not told.
     :ivar admins: ``ip:port`` of the admin addresses that are known.
     """
 
@@ -21,33 +21,12 @@
     domain: str
     incarnation: str
     revision: int
-    digest: str
+    digest: str = ''
     admins: tuple[str, ...] = ()
 
-    def encode(self) -> bytes:
-        """Return the JSON form."""
-        return _STATUS.dump_json(self)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EventsReply:
-    """
-    Answer to ``GET /events?since=N``.
-
-    :ivar events: the kept events with numbers above N, oldest first.
-    """
-
-    node: str
-    incarnation: str
-    events: tuple[Event, ...]
-
-    def encode(self) -> bytes:
-        """Return the JSON form."""
-        return _EVENTS.dump_json(self, fallback=str)
-
 
 _STATUS = pydantic.TypeAdapter(StatusReply)
-_EVENTS = pydantic.TypeAdapter(EventsReply)
+_EVENTS = pydantic.TypeAdapter(tuple[Event, ...])
 
 
 def decode_status(raw: bytes) -> StatusReply:
@@ -59,9 +38,9 @@
     return _STATUS.validate_json(raw)
 
 
-def decode_events(raw: bytes) -> EventsReply:
+def decode_events(raw: bytes) -> tuple[Event, ...]:
     """
-    Return an events answer.
+    Return the events of an answer to ``GET /events?since=N``.
 
     :raises ValueError: if it is malformed.
     """
