Delete parts that no head of the last 64 names

The head lists retired parts; a program that replaces a head deletes those that were retired 64 revisions ago, at revisions that it read before. A writer that finds its part already there writes it once more, so that such a delete fails. A program that dies between head and delete leaks its garbage.

--- a/fuchsiafork/configuration/head.py
+++ b/fuchsiafork/configuration/head.py
@@ -50,12 +50,15 @@
     :ivar digest: digest of the whole document.
     :ivar parts: digests of the parts in order.
     :ivar changes: the last changes, newest last.
+    :ivar retired: parts that are no longer named, with the revision from
+        which they are not; they are kept for readers of earlier heads.
     """
 
     revision: int
     digest: str
     parts: tuple[str, ...]
     changes: tuple[Change, ...]
+    retired: tuple[tuple[str, int], ...] = ()
 
     @property
     def change_id(self) -> str:
@@ -99,14 +102,36 @@
     """Return the head of the revision that a change makes."""
     revision = head.revision + 1
     applied = dataclasses.replace(by, revision=revision)
+    names = tuple(part_digest(part) for part in parts)
     return Head(
         revision=revision,
         digest=digest_of(text),
-        parts=tuple(part_digest(part) for part in parts),
+        parts=names,
         changes=(*head.changes, applied)[-CHANGES_KEPT:],
+        retired=tuple(
+            (name, since)
+            for name, since in _unnamed(head, names, revision)
+            if since > revision - CHANGES_KEPT
+        ),
     )
 
 
+def garbage(before: Head, after: Head) -> list[str]:
+    """Return the parts that may be deleted once a head is replaced."""
+    kept = {name for name, _ in after.retired}.union(after.parts)
+    return [name for name, _ in before.retired if name not in kept]
+
+
+def _unnamed(
+    head: Head,
+    names: tuple[str, ...],
+    revision: int,
+) -> list[tuple[str, int]]:
+    """Return the parts of earlier heads that a new one does not name."""
+    dropped = [(name, revision) for name in head.parts]
+    return [row for row in (*head.retired, *dropped) if row[0] not in names]
+
+
 def part_digest(part: bytes) -> str:
     """Return the name of a part."""
     return digest_of(part.decode())
--- a/fuchsiafork/configuration/store.py
+++ b/fuchsiafork/configuration/store.py
@@ -10,6 +10,7 @@
     Change,
     Head,
     decode_head,
+    garbage,
     join_parts,
     next_head,
     part_digest,
@@ -124,9 +125,10 @@
         text = join_sections(sections)
         parse_document(text)
         parts = split_parts(sections)
+        head = next_head(before.head, text, parts, change)
+        unused = self._locate(garbage(before.head, head))
         for part in parts:
             self._write_part(part, before.head)
-        head = next_head(before.head, text, parts, change)
         answer = self._client.execute(
             CompareAndSwap(
                 HEAD_KEY,
@@ -141,25 +143,62 @@
             if answer.outcome_unknown:
                 return None
             raise _unavailable(answer)
-        return head if answer.succeeded else None
+        if not answer.succeeded:
+            return None
+        self._delete(unused)
+        return head
 
     def _write_part(self, part: bytes, present: Head) -> None:
-        """Store a part, unless the present head names it already."""
+        """
+        Store a part, unless the present head names it already.
+
+        A part that is found there was left by an earlier head and may be
+        about to be deleted by the program that replaced that head. It is
+        written again, so that a delete at its old revision fails.
+        """
         name = part_digest(part)
         if name in present.parts:
             return
-        answer = self._client.execute(
-            CompareAndSwap(f'{PART_PREFIX}{name}', 0, part, _TAG),
-        )
-        # A part that is there already has the same content.
-        if isinstance(answer, StoreFailed):
-            self._read_back(answer)
+        key = f'{PART_PREFIX}{name}'
+        revision = 0
+        for _ in range(_ATTEMPTS):
+            answer = self._client.execute(
+                CompareAndSwap(key, revision, part, _TAG),
+            )
+            if getattr(answer, 'succeeded', False):
+                return
+            found = self._present_revision(answer)
+            if revision and found not in {0, revision}:
+                # Written since it was seen, perhaps by this very write.
+                return
+            revision = found
+        raise ConfigurationConflictError(f'{key!r} changed all the time')
+
+    def _locate(self, names: list[str]) -> list[tuple[str, int]]:
+        """
+        Return key and revision of parts.
+
+        They are read before the head is replaced, see :meth:`_write_part`.
+        """
+        keys = [f'{PART_PREFIX}{name}' for name in names]
+        return [(key, self._read_key(key)[0]) for key in keys]
 
-    def _read_back(self, failed: StoreFailed) -> None:
-        """Raise unless a part whose answer was lost is there."""
-        _, part = self._read_key(failed.key)
-        if part is None:
-            raise _unavailable(failed)
+    def _delete(self, located: list[tuple[str, int]]) -> None:
+        """Delete parts that were not written since; a failure leaks one."""
+        for key, revision in located:
+            self._client.execute(CompareAndSwap(key, revision, None, _TAG))
+
+    def _present_revision(self, answer: Any) -> int:
+        """
+        Return a part's revision after a write without success.
+
+        :raises StoreUnavailableError: if the service gave no answer.
+        """
+        if not isinstance(answer, StoreFailed):
+            return int(answer.revision)
+        if not answer.outcome_unknown:
+            raise _unavailable(answer)
+        return self._read_key(answer.key)[0]
 
     def _read_key(self, key: str) -> tuple[int, bytes | None]:
         """Return revision and value of a key."""
--- a/fuchsiafork/operator_cli/fleet.py
+++ b/fuchsiafork/operator_cli/fleet.py
@@ -53,7 +53,7 @@
 
 def status_rows(found: dict[str, StatusReply | None]) -> list[Row]:
     """Return a row for each process; one without an answer has no node."""
-    return [
+    rows = [
         {
             'node': reply.node if reply else None,
             'domain': reply.domain if reply else None,
@@ -63,6 +63,7 @@
         }
         for address, reply in sorted(found.items())
     ]
+    return sorted(rows, key=lambda row: row['node'] or '')
 
 
 def wait_in_force(
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -1,11 +1,15 @@
 """Tests of the stored document: parts, head, races and lost answers."""
 
+import contextlib
 import functools
 import random
+import threading
 import unittest
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
+from fuchsiafork.adapters.store import StoreClient
 from fuchsiafork.configuration import ConfigurationStore, head, sections
 from fuchsiafork.kernel.errors import (
     ConfigurationConflictError,
@@ -14,6 +18,7 @@
 )
 from fuchsiafork.kernel.outbox import CompareAndSwap
 from standins.store_model import StoreModel
+from standins.store_server import StoreServer
 from standins.virtual import VirtualClock, apply_operation, failed
 from tests.test_configuration import SAMPLE
 
@@ -180,6 +185,97 @@
             self.assertEqual(len(ids), len(set(ids)), f'{seed=}')
             self.assertEqual(done.head.revision, 13, f'{seed=}')
 
+    def test_doubled_change_would_be_noticed(self) -> None:
+        """Negative control: without change ids, the check fires."""
+        with (
+            mock.patch.object(head.Head, 'find', return_value=None),
+            self.assertRaises(AssertionError),
+        ):
+            self.test_no_change_is_lost_or_doubled_with_lost_answers()
+
+    def contend(
+        self,
+        client: StoreClient,
+        name: str,
+        base: dict[str, str],
+        won: list[str],
+    ) -> None:
+        """Replace the team's sections; note the name of a winner."""
+        text = f'[budget:b]\nowner = money\n# {name}\n'
+        edit = functools.partial(
+            sections.replace_owned,
+            owner='money',
+            wanted={'budget:b': text},
+            base=base,
+        )
+        with contextlib.suppress(ConfigurationConflictError):
+            ConfigurationStore(client).apply(change(name), edit)
+            won.append(name)
+
+    def test_threads_over_http_have_one_winner(self) -> None:
+        """Guards against a race that only real connections show."""
+        won: list[str] = []
+        with StoreServer() as server:
+            clients = [StoreClient([server.url], 5) for _ in range(4)]
+            store = ConfigurationStore(clients[0])
+            for turn in range(5):
+                base = sections.digests(store.read().sections)
+                threads = [
+                    threading.Thread(
+                        target=self.contend,
+                        args=(client, f'{turn}.{number}', base, won),
+                    )
+                    for number, client in enumerate(clients)
+                ]
+                for thread in threads:
+                    thread.start()
+                for thread in threads:
+                    thread.join()
+                self.assertEqual(len(won), turn + 1)
+            applied = [row.change_id for row in store.read().head.changes]
+            for client in clients:
+                client.close()
+        self.assertEqual(applied, won)
+
+
+class TestGarbage(StoreCase):
+    """Parts that no head names any more."""
+
+    def keys(self) -> set[str]:
+        """Return the digests of the stored parts."""
+        prefix = head.PART_PREFIX
+        return {key[len(prefix) :] for key in self.model.rows if prefix in key}
+
+    def test_old_parts_go_and_a_reused_part_stays(self) -> None:
+        """Guards against a service that fills up, and a torn head."""
+        for number in range(100):
+            self.store.apply(change(f'c{number}'), budget(f'b{number}'))
+        self.assertLessEqual(len(self.keys()), 2 * head.CHANGES_KEPT)
+        self.store.apply(change('back'), lambda _: budget('b0')({}))
+        self.assertEqual(list(self.store.read().sections), ['budget:b0'])
+        self.assertLessEqual(len(self.store.read().head.encode()), 20_000)
+
+    def test_delete_races_with_a_writer_of_the_same_part(self) -> None:
+        """Guards against a delete that tears the head that came after."""
+        rival = ConfigurationStore(ModelClient(self.model))
+        for number in range(66):
+            text = f'[budget:a]\nowner = m{number}\n'
+            self.store.apply(change(f'c{number}'), lambda _, t=text: {'a': t})
+        first = self.store.read().head.retired[0][0]
+
+        def race(key: str) -> None:
+            if key == f'{head.PART_PREFIX}{first}':
+                self.client.before_swap = lambda _: None
+                text = self.model.rows[key].value.decode()
+                rival.apply(change('theirs'), lambda _: {'a': text})
+
+        self.client.before_swap = race
+        edit = {'a': '[budget:a]\nowner = last\n'}
+        self.store.apply(change('mine'), lambda _: edit)
+        after = self.store.read()
+        self.assertEqual(after.head.change_id, 'theirs')
+        self.assertLessEqual(set(after.head.parts), self.keys())
+
 
 class TestFailures(StoreCase):
     """Changes that cannot be applied."""
