Watch the head record from a thread of the keeper

The system polls the head once a second; the watch brings a change to the reader within milliseconds and costs one waiting call. The follow mode of the time line has a test on a stepped clock.

--- a/fuchsiafork/configuration/__init__.py
+++ b/fuchsiafork/configuration/__init__.py
@@ -16,6 +16,7 @@
 from fuchsiafork.configuration.parsing import parse_document
 from fuchsiafork.configuration.store import ConfigurationStore
 from fuchsiafork.configuration.system import ConfigurationSystem
+from fuchsiafork.configuration.watching import HeadWatcher
 
 __all__ = (
     'HEAD_KEY',
@@ -27,6 +28,7 @@
     'ConfigurationSystem',
     'Document',
     'Head',
+    'HeadWatcher',
     'Kind',
     'Pool',
     'Rollout',
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -4,6 +4,7 @@
 import dataclasses
 import http.server
 import io
+import itertools
 import json
 import tempfile
 import threading
@@ -17,7 +18,11 @@
 from fuchsiafork.operator_cli.__main__ import run
 from fuchsiafork.operator_cli.output import Exit, render_table
 from fuchsiafork.timeline import admin
-from fuchsiafork.timeline.__main__ import show_once, timeline
+from fuchsiafork.timeline.__main__ import (
+    follow_events,
+    show_once,
+    timeline,
+)
 from fuchsiafork.timeline.collect import Collector
 from fuchsiafork.timeline.merge import Merger, Selection
 from standins.store_application import StoreApplication
@@ -346,6 +351,20 @@
             timeline(second.address, as_json=True)
         self.assertEqual(json.loads(out.getvalue())['fields'], {'account': 'z'})
 
+    def test_follow_shows_new_events_after_the_hold(self) -> None:
+        """Guards against a live view that shows nothing, or too early."""
+        server = AdminServer(self, 'a')
+        server.record(1)
+        collector = Collector(admin.AdminClient(), [server.address])
+        show = mock.Mock(side_effect=KeyboardInterrupt)
+        path = 'fuchsiafork.timeline.__main__.time'
+        with mock.patch(path) as time:
+            time.monotonic.side_effect = itertools.count()
+            with self.assertRaises(KeyboardInterrupt):
+                follow_events(collector, Selection(), show, 9)
+        show.assert_called_once_with(server.events[0])
+        self.assertGreater(time.sleep.call_count, 0)
+
     def test_gap_in_a_ring_is_counted(self) -> None:
         """Guards against a time line that hides what it lacks."""
         server = AdminServer(self, 'a')
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the key-value adapter against its stand-in."""
 
 import json
+import queue
 import threading
 import unittest
 
@@ -8,6 +9,7 @@
 
 from fuchsiafork.adapters.store import StoreClient
 from fuchsiafork.adapters.store_wire import StoreCallError
+from fuchsiafork.configuration import HEAD_KEY, HeadWatcher
 from fuchsiafork.kernel.outbox import (
     CompareAndSwap,
     KeyRead,
@@ -166,3 +168,26 @@
         self.set_faults(down=True)
         with self.assertRaises(StoreCallError):
             next(events)
+
+    def test_head_watcher_goes_on_after_an_outage(self) -> None:
+        """Guards against a keeper that is left with its polls."""
+        seen: queue.Queue[int] = queue.Queue()
+        stopped = threading.Event()
+        watcher = HeadWatcher(
+            self.client, lambda: True, seen.put, stopped, retry_s=0.01
+        )
+        self.client.swap(HEAD_KEY, 0, b'1')
+        thread = threading.Thread(target=watcher.run)
+        thread.start()
+        while not self.application.watches:
+            stopped.wait(0.01)
+        self.client.swap(HEAD_KEY, 1, b'2')
+        self.assertEqual(seen.get(timeout=5), 2)
+        self.set_faults(down=True)
+        self.application.model.swap(HEAD_KEY, 2, b'3')
+        self.set_faults(down=False)
+        self.assertEqual(seen.get(timeout=5), 3)
+        stopped.set()
+        self.client.swap(HEAD_KEY, 3, b'4')
+        thread.join(5)
+        self.assertFalse(thread.is_alive())
