Take a section that is already as wanted for no conflict

An operator who repeated config apply without the change id, after a lost answer had taken effect, was told of a conflict with the own change.

A section in force that equals the wanted one no longer counts as changed since it was last seen.

--- a/fuchsiafork/configuration/sections.py
+++ b/fuchsiafork/configuration/sections.py
@@ -115,10 +115,13 @@
     """Raise if the owner's sections are not those last seen."""
     seen = dict(base)
     now = digests(present)
+    # A section that is already as wanted was changed the same way, perhaps
+    # by an earlier run of the same command whose answer was lost.
+    wished = digests(wanted)
     moved = [
         title
         for title in sorted(set(seen) | set(now))
-        if seen.get(title) != now.get(title)
+        if now.get(title) not in {seen.get(title), wished.get(title)}
     ]
     if moved:
         before = {title: present.get(title, '') for title in moved}
