Make no revision for a change that changes nothing

Repeating an apply of an unchanged file made a new revision, which every keeper fetched and every system was configured with.

apply returns the present revision when the edit returns the sections in force.

--- a/fuchsiafork/configuration/store.py
+++ b/fuchsiafork/configuration/store.py
@@ -92,6 +92,8 @@
         """
         Return the change with its revision, after it was applied once.
 
+        A change that changes nothing makes no revision.
+
         The parts are written before the head that names them, so that a
         reader never finds a head whose parts are still to come.
 
@@ -107,7 +109,14 @@
             applied = before.head.find(change.change_id)
             if applied is not None:
                 return applied
-            head = self._write(before, change, edit)
+            present = before.sections
+            wanted = edit(present)
+            if wanted == present:
+                return dataclasses.replace(
+                    change,
+                    revision=before.head.revision,
+                )
+            head = self._write(before, change, wanted)
             if head is not None:
                 return head.changes[-1]
         raise ConfigurationConflictError(
@@ -118,10 +127,9 @@
         self,
         before: Snapshot,
         change: Change,
-        edit: Edit,
+        sections: Sections,
     ) -> Head | None:
         """Return the new head, or None if it must be read again."""
-        sections = edit(before.sections)
         text = join_sections(sections)
         parse_document(text)
         parts = split_parts(sections)
