Test budgets under each failure, with negative controls

Cause: no test guarded the ledger, the holders and the routers' record. Change: tests of ledger writes, of each failure on a fleet in virtual time and a state machine over all of them; a lone holder is freed when the routers of its own VM have reported too.

--- a/fuchsiafork/budgets/closing.py
+++ b/fuchsiafork/budgets/closing.py
@@ -208,9 +208,10 @@
         """Return whether everyone who may know of spending has told."""
         heard = self._heard.get(case.holder.partition('+')[0])
         closed = shard.record.closed[case.holder]
-        if heard is None or closed.lone:
+        if heard is None:
             return False
-        vm = case.holder.partition('/')[0]
+        # Routers of its own VM had nothing with a holder that was not lone.
+        vm = '' if closed.lone else case.holder.partition('/')[0]
         for row in self._routers.lost:
             if row.vm != vm and row.answered > heard - LOST_KEPT_S:
                 return False
--- /dev/null
+++ b/tests/test_budgets_fleet.py
@@ -0,0 +1,290 @@
+"""Tests of holders and routers under each failure of the design page."""
+
+import unittest
+from unittest import mock
+
+from fuchsiafork import budgets, messages
+from fuchsiafork.budgets.holder import HolderSystem
+from fuchsiafork.budgets.tables import HolderTables
+from fuchsiafork.budgets.transfers import TransferDesk
+from fuchsiafork.kernel import InvariantViolationError
+from measurements.budgets_fleet import Fleet, Request
+from standins.virtual import Faults
+
+LAYOUT = {'a': 3, 'b': 2}
+PREPAID = 20_000
+
+
+class FleetCase(unittest.TestCase):
+    """A fleet with one budget, whose target counts the spend."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(LAYOUT, {'x': PREPAID}, seed=7, faults=Faults())
+        self.requests: list[Request] = []
+        self.fleet.run(3)
+
+    def demand(self, seconds: float, tokens: int = 300, **fields) -> None:
+        """Send ten requests a second from all routers."""
+        vms = fields.get('vms') or [*self.fleet.routers]
+        for number in range(int(seconds * 10)):
+            request = Request(
+                len(self.requests),
+                self.fleet.clock.now(),
+                vms[number % len(vms)],
+                'x',
+                tokens,
+                tokens // 2,
+                fields.get('duration', 0.7),
+            )
+            self.requests.append(request)
+            self.fleet.call(request)
+            self.fleet.run(0.1)
+
+    def settled(self) -> int:
+        """Return what the ledger has as billed."""
+        row = self.fleet.rows()['x']
+        return row.settled + row.duplicate
+
+    def assert_sound(self) -> None:
+        """Check that all spend is billed once and covered."""
+        self.assertLessEqual(self.fleet.target.spent['x'], PREPAID)
+        self.assertGreater(self.fleet.served, 10)
+        self.assertEqual(self.settled(), self.fleet.target.spent['x'])
+
+    def holder_of_stream(self, not_on: str = '') -> str:
+        """Return the VM of a keeper that holds a reservation."""
+        return next(
+            vm
+            for vm, keeper in self.fleet.keepers.items()
+            if keeper.holder.tables.reservations and vm != not_on
+        )
+
+
+class TestMessagesAndAnswers(FleetCase):
+    """Lost, doubled and reordered messages and answers."""
+
+    def test_lost_answers_of_writes(self) -> None:
+        """Guards against a write that is repeated after it took effect."""
+        self.fleet.network.faults.store_lost_answer = 0.5
+        self.demand(20)
+        self.fleet.network.faults.store_lost_answer = 0
+        self.fleet.run(20)
+        self.assert_sound()
+
+    def test_lossy_links(self) -> None:
+        """Guards against duplicate, reordered and lost messages."""
+        self.fleet.network.faults.drop = 0.15
+        self.fleet.network.faults.duplicate = 0.4
+        self.fleet.network.faults.delay_s = (0.001, 0.4)
+        self.demand(20)
+        self.fleet.run(30)
+        self.assert_sound()
+        self.assertFalse(any(r.holdings.unsettled for r in self.routers()))
+
+    def routers(self) -> list:
+        """Return the routers that run."""
+        return [*self.fleet.routers.values()]
+
+    def test_settlement_is_durable_only_after_the_write(self) -> None:
+        """Guards against a router that forgets before the ledger knows."""
+        self.demand(2)
+        self.fleet.network.faults.store_down = True
+        self.demand(3)
+        self.fleet.run(5)
+        self.assertTrue(any(r.holdings.unsettled for r in self.routers()))
+        self.fleet.network.faults.store_down = False
+        self.fleet.run(10)
+        self.assertFalse(any(r.holdings.unsettled for r in self.routers()))
+        self.assert_sound()
+
+
+class TestTransfers(FleetCase):
+    """Money that moves while the store is unreachable."""
+
+    def outage_demand(self) -> None:
+        """Let one domain need more than it has while the store is down."""
+        self.demand(3)
+        self.fleet.network.faults.store_down = True
+        self.demand(8, vms=['b-0', 'b-1'])
+
+    def test_money_follows_demand_in_an_outage(self) -> None:
+        """Guards against refusals while others hold the money."""
+        self.outage_demand()
+        self.assertFalse([r for r in self.fleet.refused if r.false])
+        self.fleet.network.faults.store_down = False
+        self.fleet.run(15)
+        self.assert_sound()
+        self.assertFalse(
+            any(k.holder.tables.transfers for k in self.keepers()),
+        )
+
+    def keepers(self) -> list:
+        """Return the keepers that run."""
+        return [*self.fleet.keepers.values()]
+
+    def test_lost_transfers_strand_money_and_never_double_it(self) -> None:
+        """Guards against a transfer lost, or credited twice."""
+        self.fleet.network.faults.drop = 0.3
+        self.fleet.network.faults.duplicate = 0.3
+        self.outage_demand()
+        self.fleet.network.faults.store_down = False
+        self.fleet.network.faults.drop = 0
+        self.fleet.run(20)
+        self.assert_sound()
+        row = self.fleet.rows()['x']
+        self.assertGreaterEqual(row.free, 0)
+
+    def test_check_fires_on_a_doubled_credit(self) -> None:
+        """Negative control: copies of a transfer count each time."""
+        take = TransferDesk.take
+
+        def forgetful(desk: TransferDesk, message: object) -> None:
+            desk._tables.seen_transfers.clear()
+            take(desk, message)
+
+        self.fleet.network.faults.duplicate = 1
+        with (
+            mock.patch.object(TransferDesk, 'take', forgetful),
+            self.assertRaises(InvariantViolationError),
+        ):
+            self.outage_demand()
+            self.demand(12, vms=['b-0', 'b-1'])
+            self.fleet.network.faults.store_down = False
+            self.fleet.run(10)
+
+
+class TestHolders(FleetCase):
+    """Paused and dead holders, and dead routers."""
+
+    def test_paused_holder_past_its_lease(self) -> None:
+        """Guards against a holder that spends after its close-out."""
+        self.demand(3)
+        vm = self.holder_of_stream()
+        old = self.fleet.keepers[vm].holder.tables.holder
+        self.fleet.network.pause(f'{vm}/keeper')
+        self.demand(25)
+        self.fleet.network.resume(f'{vm}/keeper')
+        self.demand(10)
+        self.fleet.run(30)
+        renewed = self.fleet.keepers[vm].holder.tables.holder
+        self.assertEqual(renewed, f'{old}+1')
+        self.assert_sound()
+
+    def pause_unnoticed(self) -> None:
+        """Pause a holder past its lease while the store is down later."""
+        self.demand(3, tokens=100)
+        vm = self.holder_of_stream()
+        self.fleet.network.pause(f'{vm}/keeper')
+        self.fleet.run(30)
+        self.demand(20, tokens=1200, vms=['b-0', 'b-1'])
+        self.fleet.network.faults.store_down = True
+        self.fleet.network.resume(f'{vm}/keeper')
+        self.demand(30, tokens=600)
+        self.fleet.network.faults.store_down = False
+        self.fleet.run(30)
+
+    def test_closed_holder_stays_stopped_without_the_store(self) -> None:
+        """Guards against a resume that no other keeper agrees to."""
+        self.pause_unnoticed()
+        self.assertLessEqual(self.fleet.target.spent['x'], PREPAID)
+
+    def test_overspend_shows_without_pause_detection(self) -> None:
+        """Negative control of the pause detection."""
+        with mock.patch.object(
+            HolderSystem, '_notice_pause', lambda system: None
+        ):
+            try:
+                self.pause_unnoticed()
+            except InvariantViolationError:
+                return
+        self.assertGreater(self.fleet.target.spent['x'], PREPAID)
+
+    def test_dead_holder_is_closed_out(self) -> None:
+        """Guards against money withheld for good, and lost settlements."""
+        self.demand(3, duration=4)
+        vm = self.holder_of_stream()
+        self.fleet.network.kill(f'{vm}/keeper')
+        self.fleet.keepers.pop(vm)
+        self.fleet.run(60)
+        self.assert_sound()
+        self.assertEqual(self.fleet.withheld(), 0)
+
+    def test_dead_router_is_settled_from_target_records(self) -> None:
+        """Guards against spend that nobody bills."""
+        self.demand(3, duration=3)
+        self.fleet.network.kill('a-0/router')
+        self.fleet.routers.pop('a-0')
+        self.fleet.run(40)
+        self.assert_sound()
+        held = [
+            keeper.holder.tables.reservations
+            for keeper in self.fleet.keepers.values()
+        ]
+        self.assertFalse(any(held))
+
+    def test_dead_router_and_holder_on_two_vms(self) -> None:
+        """Guards against freeing what a lost router may have spent."""
+        self.demand(3, duration=20)
+        holder = self.holder_of_stream(not_on='a-0')
+        router = next(
+            row.router
+            for row in self.fleet.keepers[
+                holder
+            ].holder.tables.reservations.values()
+        )
+        self.fleet.kill(holder)
+        self.fleet.kill(router.partition('/')[0])
+        self.fleet.run(60)
+        withheld = self.fleet.withheld()
+        spent = self.fleet.target.spent['x']
+        self.assertGreaterEqual(withheld, spent - self.settled())
+        self.assertGreater(withheld, 0)
+        key = budgets.ledger_key('x')
+        revision, encoded = self.fleet.store.read(key)
+        record = budgets.decode_record(encoded)
+        for name in record.closed:
+            record = budgets.release(record, 'x', name, f'release {name}')
+        value = budgets.encode_record(record)
+        self.assertTrue(self.fleet.store.swap(key, revision, value)[0])
+        self.assertEqual(self.fleet.withheld(), 0)
+
+
+class TestReservations(FleetCase):
+    """Single reservations."""
+
+    def test_copies_of_a_reserve_hold_money_once(self) -> None:
+        """Guards against a repeated question that reserves twice."""
+        self.demand(1)
+        self.fleet.run(5)
+        keeper = self.fleet.keepers['a-0']
+        ask = messages.Reserve('r', 'x', 'acc', 50, 1, 'a-1')
+        for _ in range(3):
+            keeper.receive(ask, 'a-9/router', 'a-0/keeper')
+            self.fleet.run(0.2)
+        state = keeper.holder.tables.budgets['x']
+        self.assertEqual(state.reserved, 50)
+        settle = messages.Settle(
+            'r', 'x', 'acc', keeper.holder.tables.holder, 900, 'r'
+        )
+        for late in (settle, ask, settle):
+            keeper.receive(late, 'a-9/router', 'a-0/keeper')
+        self.assertEqual((state.reserved, state.unwritten), (0, 50))
+
+    def test_late_reservation_is_not_used(self) -> None:
+        """Guards against a first byte after the reservation's end."""
+        holdings = self.fleet.routers['a-0'].holdings
+        row = messages.Reserved('r', 'x', 'h#i', 5, 5)
+        asked = self.fleet.clock.now()
+        self.assertTrue(holdings.note_reserved(row, 'acc', asked))
+        self.fleet.clock.advance(5)
+        self.assertFalse(holdings.start('r', 'target'))
+        self.assertFalse(holdings.note_reserved(row, 'acc', asked - 5))
+
+    def test_overdraft_shows_when_grants_are_ignored(self) -> None:
+        """Negative control of reservations from grants only."""
+        with (
+            mock.patch.object(HolderTables, 'available', return_value=10**9),
+            self.assertRaises(InvariantViolationError),
+        ):
+            self.demand(20, tokens=3000)
+            self.fleet.run(10)
--- /dev/null
+++ b/tests/test_budgets_machine.py
@@ -0,0 +1,115 @@
+"""Hypothesis state machine over a fleet under all faults."""
+
+import unittest
+from unittest import mock
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from fuchsiafork.budgets.tables import HolderTables
+from fuchsiafork.kernel import InvariantViolationError
+from measurements.budgets_faults import BUDGETS, LAYOUT, FaultyFleet
+
+VMS = st.sampled_from([
+    f'{domain}-{number}'
+    for domain, count in LAYOUT.items()
+    for number in range(count)
+])
+NAMES = st.sampled_from([*BUDGETS])
+SETTINGS = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=8,
+    stateful_step_count=20,
+    # Shrinking takes minutes; a failure names its steps without it.
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Any sequence of demand, faults and top-ups."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.faulty = FaultyFleet(1)
+
+    @rule(
+        vm=VMS,
+        budget=NAMES,
+        tokens=st.integers(1, 900),
+        share=st.floats(0.1, 1),
+        seconds=st.sampled_from([0.05, 0.5, 2]),
+    )
+    def call(self, vm, budget, tokens, share, seconds) -> None:
+        self.faulty.call(vm, budget, tokens, share)
+        self.faulty.run(seconds)
+
+    @rule(seconds=st.sampled_from([0.01, 1, 6, 20]))
+    def wait(self, seconds) -> None:
+        self.faulty.run(seconds)
+
+    @rule(vm=VMS)
+    def pause(self, vm) -> None:
+        self.faulty.pause(vm)
+
+    @rule(vm=VMS, router=st.booleans(), keeper=st.booleans())
+    def crash(self, vm, router, keeper) -> None:
+        self.faulty.crash(vm, router=router, keeper=keeper)
+
+    @rule(domain=st.sampled_from([*LAYOUT]))
+    def cut(self, domain) -> None:
+        self.faulty.cut(domain)
+
+    @rule(bad=st.booleans())
+    def links(self, bad) -> None:
+        self.faulty.links(bad=bad)
+
+    @rule()
+    def outage(self) -> None:
+        self.faulty.store_outage()
+
+    @rule(budget=NAMES, tokens=st.integers(1, 4000), change=st.integers(1, 9))
+    def top_up(self, budget, tokens, change) -> None:
+        self.faulty.top_up(budget, tokens, change)
+
+    @invariant()
+    def nothing_overspent(self) -> None:
+        assert not self.faulty.problems()
+
+    def teardown(self) -> None:
+        self.faulty.settle_down()
+        assert not self.faulty.problems()
+        if not self.faulty.lost_router:
+            assert not any(self.faulty.unbilled().values())
+
+
+class TestBudgetMachine(unittest.TestCase):
+    """Budgets under everything at once."""
+
+    def test_no_overspend_and_no_lost_bill(self) -> None:
+        """Guards against any combination of faults that overspends."""
+        run_state_machine_as_test(BudgetMachine, settings=SETTINGS)
+
+    def test_machine_finds_a_broken_mechanism(self) -> None:
+        """Negative control: reservations ignore the grant."""
+        broken = mock.patch.object(
+            HolderTables,
+            'available',
+            return_value=10**9,
+        )
+        with (
+            broken,
+            self.assertRaises((
+                AssertionError,
+                InvariantViolationError,
+            )),
+        ):
+            run_state_machine_as_test(BudgetMachine, settings=SETTINGS)
