Free a dead holder's money only where no router can be unknown

A holder that settled a request of its own VM's router cleared its lone mark before the write; a keeper that had restarted or been paused did not know of routers that died before; a silent router that was alive got a reservation whose target record was asked for before the stream had begun. Change: pending settlements of the own VM's routers keep the mark; only a keeper that has run without a pause since the holder's start, or for 600 s before its end, frees its money; target records are asked for 15 s after the reservation, and silent routers are polled on. More money is withheld after close-outs.

--- a/fuchsiafork/budgets/closing.py
+++ b/fuchsiafork/budgets/closing.py
@@ -17,6 +17,8 @@
 SILENCE_S = 15.0
 ASK_INTERVAL_S = 1.0
 _CLOCK_SKEW_S = 60
+# Keepers and routers of a fleet that starts come up within this time.
+_START_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +62,7 @@
         self._membership = membership
         self._routers = routers
         self._heard: dict[str, float] = {}
+        self._first_heard: dict[str, float] = {}
         self._cases: dict[str, Case] = {}
 
     def reset(self, tables: HolderTables) -> None:
@@ -71,6 +74,7 @@
         now = self._context.clock.now()
         for member in self._membership.members.values():
             name = f'{member.node}#{member.incarnation}'
+            self._first_heard.setdefault(name, now)
             self._heard[name] = max(
                 member.last_heard,
                 self._heard.get(name, 0),
@@ -208,7 +212,7 @@
         """Return whether everyone who may know of spending has told."""
         heard = self._heard.get(case.holder.partition('+')[0])
         closed = shard.record.closed[case.holder]
-        if heard is None:
+        if heard is None or not self._vouches(case.holder, heard):
             return False
         # Routers of its own VM had nothing with a holder that was not lone.
         vm = '' if closed.lone else case.holder.partition('/')[0]
@@ -227,6 +231,17 @@
             told and others <= case.written and self._is_clear_of(case.holder)
         )
 
+    def _vouches(self, holder: str, heard: float) -> bool:
+        """
+        Return whether no router of a holder can be unknown here.
+
+        A router that died before this keeper ran, or while it was paused,
+        may have left reservations that nobody else would report.
+        """
+        first = self._first_heard.get(holder.partition('+')[0], heard)
+        since = max(first + _START_S, heard - LOST_KEPT_S)
+        return self.awake_since <= since
+
     def _is_dead(self, holder: str) -> bool:
         """Return whether a holder has been silent for too long."""
         now = self._context.clock.now()
--- a/fuchsiafork/budgets/holder.py
+++ b/fuchsiafork/budgets/holder.py
@@ -119,6 +119,7 @@
         known = settled or name in tables.pending
         if known or name in tables.waiting:
             return
+        self._routers.notice(sender)
         if len(tables.waiting) >= QUEUE_BOUND:
             self._refuse(message, sender)
             return
@@ -320,6 +321,7 @@
         """Return whether routers of this VM depend on this holder."""
         routers = [row.router for row in self.tables.reservations.values()]
         routers.extend(row.router for row in self.tables.waiting.values())
+        routers.extend(row.router for row in self.tables.pending.values())
         return len(self._membership.live()) < 2 or any(
             self._is_own(router) for router in routers
         )
@@ -441,6 +443,12 @@
         """Ask for the records of requests whose router was lost."""
         for held in self.tables.reservations.values():
             due = now - held.asked_target_at > _ASK_TARGET_S
-            if due and self._routers.lost_owner(held.router, held.made_at):
+            # A target without a record of a younger one may still get it.
+            old = now - held.made_at > UNKNOWN_AFTER_S
+            if (
+                due
+                and old
+                and self._routers.lost_owner(held.router, held.made_at)
+            ):
                 held.asked_target_at = now
                 self.ask_target(held.request_id, held.budget, held.target)
--- a/fuchsiafork/budgets/routers.py
+++ b/fuchsiafork/budgets/routers.py
@@ -59,12 +59,22 @@
         ]
         if now >= self._next_poll:
             self._next_poll = now + POLL_S
-            for node in self.rows:
+            # Lost messages make a router silent; it may answer again.
+            for node in sorted({
+                *self.rows,
+                *(gone.node for gone in self.lost),
+            }):
                 self._context.outbox.send(
                     node,
                     messages.AskOpenReservations(holder),
                 )
 
+    def notice(self, node: str) -> None:
+        """Take a router's message as a sign of life."""
+        now = self._context.clock.now()
+        row = self.rows.setdefault(node, RouterRow(node, 0, now))
+        row.answered = now
+
     def note(self, report: messages.OpenReservations) -> None:
         """Take a sign of life; a later start means that one was lost."""
         now = self._context.clock.now()
