--- a/fuchsiafork/budgets/ledger.py
+++ b/fuchsiafork/budgets/ledger.py
@@ -128,7 +128,7 @@
     row = BudgetRow(*values)
     row.grants = {**row.grants}
     row.rates = {**row.rates}
-    row.changes = [*row.changes]
+    row.changes = list(row.changes)
     return row
 
 
