Test several owners and routers, counted at the targets

Cause: deaths, pauses and hand-overs show only with more than one process. Change: tests of the router's side, of fleets under each process and target fault, a state machine over five VMs in two domains and a negative control that switches hand-over and reconciling off. A drain that was called off or is announced already no longer counts as leaving in the measurement: the state machine showed a drain_at moved later, which allows work until then.

--- a/measurements/targets_fleet.py
+++ b/measurements/targets_fleet.py
@@ -126,15 +126,23 @@
         )
 
     def drain(self, target: str, seconds: float) -> None:
-        """Announce by configuration that a target leaves after a time."""
-        wall = self.clock.wall() + seconds
-        section = self.document.targets[target].model_copy(
-            update={'drain_at': dt.datetime.fromtimestamp(wall, dt.UTC)},
+        """
+        Announce by configuration that a target leaves after a time.
+
+        A time that was announced before stands.
+        """
+        section = self.document.targets[target]
+        if section.drain_at is not None:
+            return
+        drain_at = dt.datetime.fromtimestamp(
+            self.clock.wall() + seconds,
+            dt.UTC,
         )
+        section = section.model_copy(update={'drain_at': drain_at})
         self.configure({**self.document.targets, target: section})
         self.scheduler.call_later(
             seconds,
-            functools.partial(self.engines[target].leave, announced=False),
+            functools.partial(self._leave, target, drain_at),
         )
 
     def restore(self, target: str, down_s: float) -> None:
@@ -167,6 +175,11 @@
             self.routers[node].submit(workload.next_call())
             self.network.flush(node)
 
+    def _leave(self, target: str, drain_at: dt.datetime) -> None:
+        """Count work from now on, unless the drain was called off."""
+        if self.document.targets[target].drain_at == drain_at:
+            self.engines[target].leave(announced=False)
+
     def _start_all(self) -> None:
         """Start the processes and what connects them."""
         for domain, count in zip(
--- a/measurements/targets_nodes.py
+++ b/measurements/targets_nodes.py
@@ -115,6 +115,7 @@
         self.keeper = ''
         self.counts: collections.Counter[str] = collections.Counter()
         self.open: dict[str, Open] = {}
+        self.refused: set[str] = set()
         self._domain = domain
         self._clock = scheduler.clock
         self._scheduler = scheduler
@@ -163,9 +164,8 @@
         if isinstance(found, messages.SlotAcquired):
             self._send(found)
         elif isinstance(found, messages.SlotRefused):
-            self._calls.pop(found.request_id, None)
-            self.counts['refused'] += 1
             self.counts[f'refused_{found.code}'] += 1
+            self._refuse(found.request_id)
 
     def answer(self, message: Any) -> None:
         """Take nothing; a router has no store."""
@@ -173,12 +173,18 @@
     def tick(self) -> None:
         """Look at the open streams and repeat what has no answer."""
         for request_id in self._slots.tick():
-            self._calls.pop(request_id, None)
-            self.counts['refused'] += 1
             self.counts['refused_late'] += 1
+            self._refuse(request_id)
         for request_id, opened in list(self.open.items()):
             self._look(request_id, opened)
 
+    def _refuse(self, request_id: str) -> None:
+        """Tell the caller that the request was not run."""
+        _, exclude = self._calls.pop(request_id)
+        self.counts['refused'] += 1
+        if not exclude:
+            self.refused.add(request_id)
+
     def _send(self, grant: messages.SlotAcquired) -> None:
         """Send a request on its grant, if that is still good."""
         call, exclude = self._calls[grant.request_id]
--- /dev/null
+++ b/tests/test_dispatch_fleet.py
@@ -0,0 +1,239 @@
+"""Tests of several owners and routers, counted at the targets."""
+
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from fuchsiafork.dispatch import system
+from fuchsiafork.dispatch.handover import Handover
+from measurements.targets_fleet import Fleet
+from measurements.targets_load import Site, Workload
+
+SITE = Site(vms=(3, 2), engines=(2, 1), services=(1, 0))
+
+
+class FleetCase(unittest.TestCase):
+    """Two domains under a load that fills the targets of the first."""
+
+    def setUp(self) -> None:
+        self.start(7)
+
+    def start(self, seed: int) -> None:
+        """Start a fleet that is ready for work."""
+        self.fleet = Fleet(SITE, seed)
+        self.workload = Workload(self.fleet.chance)
+        self.fleet.run_until(6)
+
+    def load(self, seconds: float, rate: float = 8, domain: str = 'a') -> None:
+        """Submit requests at a steady rate."""
+        for _ in range(round(seconds * rate)):
+            self.fleet.submit(self.workload, domain)
+            self.fleet.run_until(self.fleet.clock.now() + 1 / rate)
+
+    def owner(self) -> str:
+        """Return the owner of the engines of domain a."""
+        return next(
+            node
+            for node, keeper in self.fleet.keepers.items()
+            if 'a-engine-0' in keeper.dispatch.targets
+        )
+
+    def count(self, name: str) -> int:
+        """Return the sum of a count over all targets."""
+        return sum(one.counts[name] for one in self.fleet.engines.values())
+
+    def answered(self) -> int:
+        """Return the requests answered by all routers."""
+        routers = (*self.fleet.routers.values(), *self.fleet.gone)
+        return sum(router.counts['answered'] for router in routers)
+
+    def check(self) -> None:
+        """Assert what the targets counted, and that work went on."""
+        self.assertEqual(self.count('fell_over'), 0)
+        self.assertEqual(self.count('after_leaving_3s'), 0)
+        before = self.answered()
+        self.load(8, 3)
+        self.assertGreater(self.answered(), before + 8)
+
+
+class TestProcessFaults(FleetCase):
+    """Owners and routers that die or stand still."""
+
+    def test_owner_dies_with_slots_in_use(self) -> None:
+        """Guards against a successor that overfills the targets."""
+        self.load(6)
+        self.fleet.kill(self.owner())
+        self.load(10)
+        self.check()
+
+    def test_owner_resumes_past_its_lease(self) -> None:
+        """Guards against two owners of one target."""
+        self.load(6)
+        for seconds in (0.9, 1.9, 3, 8):
+            self.fleet.pause(self.owner(), seconds)
+            self.load(seconds + 4)
+        self.check()
+
+    def test_router_dies_with_slots_in_use(self) -> None:
+        """Guards against room given away under streams that go on."""
+        self.load(6)
+        self.fleet.kill('a-0/router')
+        self.load(2)
+        self.fleet.start_router('a-0/router')
+        self.load(10)
+        self.check()
+
+    def test_router_and_owner_die_at_once(self) -> None:
+        """Guards against slots that no process remembers."""
+        self.load(6)
+        owner = self.owner()
+        self.fleet.kill(owner.replace('keeper', 'router'))
+        self.fleet.kill(owner)
+        self.load(10)
+        self.check()
+
+    def test_broken_handover_overfills(self) -> None:
+        """Negative control: the targets notice an owner without memory."""
+        fallen = 0
+        for seed in (1, 2, 3):
+            self.start(seed)
+            with (
+                mock.patch.object(Handover, '_is_complete', lambda *_: True),
+                mock.patch.object(
+                    system.DispatchSystem,
+                    '_adopt',
+                    lambda *_: None,
+                ),
+                mock.patch.object(system, 'reconcile', lambda *_: None),
+            ):
+                self.load(5)
+                self.fleet.kill(self.owner())
+                self.load(10)
+            fallen += self.count('fell_over')
+        self.assertGreater(fallen, 0)
+
+
+class TestTargetFaults(FleetCase):
+    """Targets that report late, leave or are replaced."""
+
+    def test_late_load_reports(self) -> None:
+        """Guards against decisions on a load that is long past."""
+        self.fleet.late_s = 1.5
+        self.load(8)
+        self.fleet.kill(self.owner())
+        self.load(10)
+        self.check()
+
+    def test_targets_leave_and_addresses_are_reused(self) -> None:
+        """Guards against work after leaving and against old identities."""
+        self.load(4)
+        self.fleet.drain('a-engine-0', 2)
+        self.fleet.engines['a-engine-1'].leave(announced=True)
+        self.load(8)
+        self.fleet.restore('a-engine-0', 0)
+        self.fleet.restore('a-engine-1', 2)
+        self.load(8)
+        self.check()
+
+    def test_overload_of_one_domain_spills(self) -> None:
+        """Guards against slots that idle abroad, or are all given away."""
+        self.load(10, 14)
+        engine = self.fleet.engines['b-engine-0']
+        self.assertGreater(engine.counts['taken'], 0)
+        self.assertLessEqual(engine.max_active, 1)
+        self.check()
+
+    def test_refused_requests_never_ran(self) -> None:
+        """Guards against a refusal that says falsely that it did not run."""
+        self.load(15, 30)
+        routers = self.fleet.routers.values()
+        refused = set().union(*(router.refused for router in routers))
+        self.assertTrue(refused)
+        for engine in self.fleet.engines.values():
+            self.assertFalse(refused & set(engine.records))
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Any order of load and faults over several owners and routers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet(SITE, 1)
+        self.workload = Workload(self.fleet.chance)
+        self.fleet.run_until(6)
+        self.ended: list[str] = []
+
+    @rule(
+        calls=strategies.integers(1, 15),
+        domain=strategies.sampled_from('aab'),
+    )
+    def submit(self, calls: int, domain: str) -> None:
+        for _ in range(calls):
+            self.fleet.submit(self.workload, domain)
+
+    @rule(seconds=strategies.sampled_from((0.1, 0.5, 1, 2, 4)))
+    def wait(self, seconds: float) -> None:
+        self.fleet.run_until(self.fleet.clock.now() + seconds)
+
+    @rule(data=strategies.data())
+    def kill(self, data: strategies.DataObject) -> None:
+        nodes = sorted(self.fleet.network.endpoints)
+        if len(nodes) > 4:
+            node = data.draw(strategies.sampled_from(nodes))
+            self.fleet.kill(node)
+            self.ended.append(node)
+
+    @precondition(lambda machine: machine.ended)
+    @rule()
+    def start(self) -> None:
+        node = self.ended.pop()
+        kind = 'start_router' if 'router' in node else 'start_keeper'
+        getattr(self.fleet, kind)(node)
+
+    @rule(
+        data=strategies.data(),
+        seconds=strategies.sampled_from((0.6, 1.2, 1.8, 2.5, 6)),
+    )
+    def pause(self, data: strategies.DataObject, seconds: float) -> None:
+        nodes = sorted(
+            set(self.fleet.network.endpoints) - self.fleet.network.paused,
+        )
+        if nodes:
+            node = data.draw(strategies.sampled_from(nodes))
+            self.fleet.pause(node, seconds)
+
+    @rule(late=strategies.sampled_from((0, 1, 1.8)))
+    def delay_reports(self, late: float) -> None:
+        self.fleet.late_s = late
+
+    @rule(name=strategies.sampled_from(('a-engine-0', 'b-engine-0')))
+    def replace(self, name: str) -> None:
+        self.fleet.restore(name, 1)
+
+    @rule(name=strategies.sampled_from(('a-engine-0', 'a-engine-1')))
+    def leave(self, name: str) -> None:
+        self.fleet.drain(name, 1)
+
+    @invariant()
+    def targets_are_not_overfilled(self) -> None:
+        for engine in self.fleet.engines.values():
+            assert not engine.counts['fell_over'], engine.name
+            assert not engine.counts['after_leaving_3s'], engine.name
+
+
+FleetMachine.TestCase.settings = hypothesis.settings(
+    max_examples=20,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestFleetMachine = FleetMachine.TestCase
