--- a/fuchsiafork/dispatch/reconcile.py
+++ b/fuchsiafork/dispatch/reconcile.py
@@ -23,6 +23,8 @@
     of the time in question can explain. It falls only when all reports of
     ``AGREEMENT_S`` leave room for fewer.
     """
+    if not row.unknown and row.running <= len(row.slots):
+        return
     least, most = _known_streams(row, now)
     if row.running - most > row.unknown:
         row.unknown = row.running - most
