Test version policy and ejection at the owner

Cause: evidence must be told once for each slot, and ejection be bounded in a real group. Change: tests of started and ended, of the version reported by a target, of a version chosen anew in the queue, and of outliers in a group of four.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -367,6 +367,48 @@
         self.assertEqual(self.ask('r'), [])
 
 
+class TestVersions(OwnerCase):
+    """What the version policy is asked and told."""
+
+    def test_policy_hears_of_each_slot_once(self) -> None:
+        """Guards against evidence that is counted twice or lost."""
+        with (
+            mock.patch.object(self.policy, 'started') as started,
+            mock.patch.object(self.policy, 'ended') as ended,
+        ):
+            grant = self.grant('r')
+            self.grant('r')
+            self.release(grant, BAD)
+            self.release(grant, BAD)
+        started.assert_called_once_with('engine', 'engine-v1')
+        ended.assert_called_once_with('engine', 'engine-v1', BAD)
+
+    def test_request_goes_to_a_target_that_runs_its_version(self) -> None:
+        """Guards against trust in the configured version while loading."""
+        self.silent.add(ONE)
+        self.clock.advance(0.1)
+        loaded = dataclasses.replace(self.report_of(ONE), version='other')
+        self.owner.handle(loaded, '')
+        self.assertEqual({one.target for one in self.fill(8)}, {TWO})
+        with mock.patch.object(self.policy, 'choose', lambda _: 'other'):
+            self.assertEqual(self.grant('r').target, ONE)
+
+    def test_version_of_a_waiting_request_is_chosen_anew(self) -> None:
+        """Guards against work for a version after its verdict."""
+        grants = self.fill()
+        with mock.patch.object(self.policy, 'choose', lambda _: 'bad'):
+            self.ask('r')
+        self.step(1)
+        self.mail.clear()
+        self.release(grants[0])
+        versions = [
+            one.version
+            for one in self.mail
+            if isinstance(one, messages.SlotAcquired)
+        ]
+        self.assertEqual(versions, ['engine-v1'])
+
+
 class TestEjection(unittest.TestCase):
     """Outliers."""
 
@@ -402,6 +444,39 @@
         self.assertFalse(health.is_out(1.5))
 
 
+class TestEjectionOfTargets(OwnerCase):
+    """Outliers in a group of four."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        targets = dict(self.document.targets)
+        for name in ('a-engine-2', 'a-engine-3'):
+            targets[name] = targets[ONE]
+            self.running[name] = 0
+            self.ready[name] = True
+            self.identities[name] = name
+        self.configure(self.document.model_copy(update={'targets': targets}))
+        self.step(6)
+
+    def test_outlier_gets_no_work_and_the_next_one_stays(self) -> None:
+        """Guards against failing requests, and against an empty group."""
+        for name in (ONE, TWO):
+            others = tuple(set(self.running) - {name})
+            for number in range(4):
+                request = f'{name}{number}'
+                self.release(self.grant(request, exclude=others), BAD)
+                if self.owner.targets[name].health.ejections:
+                    break
+        now = self.clock.now()
+        out = [
+            row.name
+            for row in self.owner.targets.values()
+            if row.health.is_ejected(now)
+        ]
+        self.assertEqual(out, [ONE])
+        self.assertNotIn(ONE, {one.target for one in self.fill(12)})
+
+
 class TestCacheView(unittest.TestCase):
     """Prefixes believed to be cached."""
 
