--- a/measurements/targets_fleet.py
+++ b/measurements/targets_fleet.py
@@ -29,6 +29,9 @@
 KEEPER_TICK_S = 0.05
 ROUTER_TICK_S = 0.05
 _ATTACH_S = 0.25
+# Keepers that start find each other within this time, less than the time in
+# which a new owner settles.
+VM_LIST_LAG_S = 0.5
 _LINK_SILENCE_S = 2.0
 
 
@@ -88,6 +91,7 @@
         self.keepers[node] = keeper
         self.network.add(node, identity.domain, keeper)
         self.network.every(node, KEEPER_TICK_S)
+        self.scheduler.call_later(VM_LIST_LAG_S, self._introduce)
 
     def start_router(self, node: str) -> None:
         """Start a router."""
@@ -122,15 +126,23 @@
         )
 
     def drain(self, target: str, seconds: float) -> None:
-        """Announce by configuration that a target leaves after a time."""
-        wall = self.clock.wall() + seconds
-        section = self.document.targets[target].model_copy(
-            update={'drain_at': dt.datetime.fromtimestamp(wall, dt.UTC)},
+        """
+        Announce by configuration that a target leaves after a time.
+
+        A time that was announced before stands.
+        """
+        section = self.document.targets[target]
+        if section.drain_at is not None:
+            return
+        drain_at = dt.datetime.fromtimestamp(
+            self.clock.wall() + seconds,
+            dt.UTC,
         )
+        section = section.model_copy(update={'drain_at': drain_at})
         self.configure({**self.document.targets, target: section})
         self.scheduler.call_later(
             seconds,
-            functools.partial(self.engines[target].leave, announced=False),
+            functools.partial(self._leave, target, drain_at),
         )
 
     def restore(self, target: str, down_s: float) -> None:
@@ -163,6 +175,11 @@
             self.routers[node].submit(workload.next_call())
             self.network.flush(node)
 
+    def _leave(self, target: str, drain_at: dt.datetime) -> None:
+        """Count work from now on, unless the drain was called off."""
+        if self.document.targets[target].drain_at == drain_at:
+            self.engines[target].leave(announced=False)
+
     def _start_all(self) -> None:
         """Start the processes and what connects them."""
         for domain, count in zip(
@@ -173,12 +190,18 @@
             for number in range(count):
                 self.start_keeper(f'{domain}-{number}/keeper')
                 self.start_router(f'{domain}-{number}/router')
-        for first, second in itertools.permutations(self.keepers, 2):
-            beat = self._first_heartbeat(second)
-            self.keepers[first].receive(beat, second, first)
+        self._introduce()
         self._attach()
         self._poll()
 
+    def _introduce(self) -> None:
+        """Let keepers find those that are new in the list of VMs."""
+        for first, second in itertools.permutations(self.keepers, 2):
+            members = self.keepers[first].membership.members
+            if second not in members and first not in self.network.paused:
+                beat = self._first_heartbeat(second)
+                self.keepers[first].receive(beat, second, first)
+
     def _identity(self, node: str) -> Identity:
         """Return the identity of a process that starts now."""
         vm = node.partition('/')[0]
