--- a/fuchsiafork/outcomes/bindings.py
+++ b/fuchsiafork/outcomes/bindings.py
@@ -84,7 +84,8 @@
         """Start empty."""
         self.rows: dict[str, Binding] = {}
         self.body_bytes = 0
-        self._open: set[str] = set()
+        # A dict keeps the order of arrival, the same in every run.
+        self._open: dict[str, None] = {}
         self._max_bindings = max_bindings
         self._max_body_bytes = max_body_bytes
         # Keys in the order in which they were completed, oldest first.
@@ -112,13 +113,13 @@
     def add(self, row: Binding) -> None:
         """Add a row in progress; the caller has asked for room."""
         self.rows[row.key] = row
-        self._open.add(row.key)
+        self._open[row.key] = None
 
     def drop(self, key: str) -> None:
         """Forget a key."""
         row = self.rows.pop(key, None)
         self._completed.pop(key, None)
-        self._open.discard(key)
+        self._open.pop(key, None)
         if row is not None:
             self._forget_body(row)
 
@@ -126,7 +127,7 @@
         """Put a completed row in progress again."""
         self._completed.pop(row.key, None)
         self._forget_body(row)
-        self._open.add(row.key)
+        self._open[row.key] = None
 
     def complete(
         self,
@@ -137,7 +138,7 @@
     ) -> None:
         """End a row's request, with its answer if there is one."""
         row.end(state, now)
-        self._open.discard(row.key)
+        self._open.pop(row.key, None)
         self._forget_body(row)
         self._completed.pop(row.key, None)
         self._completed[row.key] = None
--- a/fuchsiafork/router/machine.py
+++ b/fuchsiafork/router/machine.py
@@ -159,7 +159,7 @@
     run.relayed = None
     if not isinstance(reply, TargetHead):
         yield from _fail(run, 'the connection broke')
-    if reply.headers.get(REQUEST_ID.lower()) != call.headers[REQUEST_ID]:
+    if not _is_own_answer(call, reply):
         run.services.events.record(
             'crossed_answer',
             request_id=run.request.request_id,
@@ -173,6 +173,11 @@
     return (yield from _relay(run, reply))
 
 
+def _is_own_answer(call: CallTarget, head: TargetHead) -> bool:
+    """Return whether an answer names the request that was sent."""
+    return head.headers.get(REQUEST_ID.lower()) == call.headers[REQUEST_ID]
+
+
 def _is_retryable(run: Run, status: int) -> bool:
     """Return whether a status counts as a failure of the target."""
     failed = status >= _SERVER_ERROR or status == _TOO_MANY
--- a/measurements/outcomes_fakes.py
+++ b/measurements/outcomes_fakes.py
@@ -73,7 +73,7 @@
                     for target in targets.values()
                 ]
                 self.settle(reservation_id, row.key, max(found))
-            elif not router.holds(reservation_id):
+            elif not router.holds(reservation_id, messages.SettleAccepted):
                 self.settle(reservation_id, reservation_id, 0)
 
 
--- a/measurements/outcomes_faults.py
+++ b/measurements/outcomes_faults.py
@@ -22,7 +22,7 @@
     """Bring about one fault."""
     kind = plan.choices(tuple(_WEIGHTS), weights=tuple(_WEIGHTS.values()))[0]
     world.faults_made[kind] += 1
-    _FAULTS[kind](world, plan, plan.uniform(1, 9))
+    FAULTS[kind](world, plan, plan.uniform(1, 9))
 
 
 def _kill_router(world: World, plan: random.Random, length: float) -> None:
@@ -90,7 +90,7 @@
     world.scheduler.call_later(delay, functools.partial(callback, *given))
 
 
-_FAULTS = {
+FAULTS: dict[str, Callable[[World, random.Random, float], None]] = {
     'router': _kill_router,
     'keeper': _kill_keeper,
     'vm': _kill_vm,
--- a/measurements/outcomes_world.py
+++ b/measurements/outcomes_world.py
@@ -19,6 +19,7 @@
 from fuchsiafork.kernel.outbox import StoreAnswer
 from fuchsiafork.membership import MembershipSystem
 from fuchsiafork.outcomes import OutcomeSystem
+from fuchsiafork.router.machine_ids import start_of
 from measurements.outcomes_callers import Caller, Operation, make_operation
 from measurements.outcomes_fakes import FakeDispatch, FakeHolder, Ledger
 from measurements.outcomes_router import Serve, VirtualRouter, carry
@@ -30,6 +31,7 @@
 VMS_PER_DOMAIN = 3
 _TICK_S = 0.1
 _CLOSE_S = 1.0
+_HURRIED_SHARE = 0.05
 
 
 class Keeper:
@@ -186,6 +188,27 @@
         domain = self.chance.choice(DOMAINS)
         operation = make_operation(number, self.chance, domain)
         self.operations.append(operation)
+        self._start_caller(operation)
+        if operation.key and self.chance.random() < _HURRIED_SHARE:
+            # An impatient caller asks again before the first answer.
+            self.scheduler.call_later(
+                self.chance.uniform(0, 3),
+                functools.partial(self._start_caller, operation),
+            )
+
+    def close_lost(self) -> None:
+        """Let the holders settle what no router holds, again and again."""
+        routers = {router.start: router for router in self.routers.values()}
+        self.ledger.close_lost(routers, self.targets)
+        # The owner of a slot asks its router in the same way.
+        for slot_id in tuple(self.slots):
+            router = routers.get(start_of(slot_id))
+            if router and not router.holds(slot_id, messages.SlotReleased):
+                self.slots.pop(slot_id)
+        self.scheduler.call_later(_CLOSE_S, self.close_lost)
+
+    def _start_caller(self, operation: Operation) -> None:
+        """Start a caller that drives an operation."""
         Caller(
             operation,
             self.scheduler,
@@ -194,12 +217,6 @@
             keyed=self._keyed,
         )
 
-    def close_lost(self) -> None:
-        """Let the holders settle what no router holds, again and again."""
-        routers = {router.start: router for router in self.routers.values()}
-        self.ledger.close_lost(routers, self.targets)
-        self.scheduler.call_later(_CLOSE_S, self.close_lost)
-
     def _pick_router(self, domain: str) -> VirtualRouter | None:
         """Return a live router, mostly of the caller's own domain."""
         routers = list(self.routers.values())
