Read a target's record again while the target is away

Change: command Spawn; the record is read in the background for up to 10 minutes before the call counts as run. Test of the repeated reads. Conclusion: the router program has to carry out Spawn.

--- a/fuchsiafork/router/machine_end.py
+++ b/fuchsiafork/router/machine_end.py
@@ -5,9 +5,20 @@
 from fuchsiafork import messages
 from fuchsiafork.router import machine_steps as steps
 from fuchsiafork.router.machine_state import Run
-from fuchsiafork.router.machine_types import Answer, ReadRecord, Tell
+from fuchsiafork.router.machine_types import (
+    Answer,
+    ReadRecord,
+    Sleep,
+    Spawn,
+    TargetRecord,
+    Tell,
+)
 
 _RECORD_S = 1.0
+_FIRST_WAIT_S = 1.0
+_LONGEST_WAIT_S = 30.0
+# A target that is gone for longer has most likely been returned.
+_GIVE_UP_S = 600.0
 _CLIENT_ERROR = 400
 _SERVER_ERROR = 500
 
@@ -54,22 +65,44 @@
     """
     Bill a non-idempotent call without an answer by its target's record.
 
-    Without a record the call counts as run, since it can't be repeated and
-    its effect stands if there was one.
+    The caller is not kept waiting for a target that can't be reached; its
+    record is then read in the background.
     """
     used, held = run.last_used, run.reservation
     if used is None or held is None:
         return
-    record = yield ReadRecord(
-        used.target,
-        used.url,
-        held.request_id,
-        _RECORD_S,
-    )
+    read = ReadRecord(used.target, used.url, held.request_id, _RECORD_S)
+    record = yield read
+    if record is None:
+        yield Spawn(run.request.request_id, _settle_later(run, read))
+        return
+    yield from _settle_by(run, record)
+
+
+def _settle_later(run: Run, read: ReadRecord) -> steps.Steps:
+    """
+    Read a record again until the target answers, then settle.
+
+    After the last try the call counts as run, since it can't be repeated and
+    its effect stands if there was one.
+    """
+    wait = _FIRST_WAIT_S
+    waited = 0.0
+    record = None
+    while record is None and waited < _GIVE_UP_S:
+        yield Sleep(wait)
+        waited += wait
+        wait = min(2 * wait, _LONGEST_WAIT_S)
+        record = yield read
+    yield from _settle_by(run, record)
+
+
+def _settle_by(run: Run, record: TargetRecord | None) -> steps.Steps:
+    """Settle a call by its target's record, or as run without one."""
     if record is not None and not record.found:
         yield from steps.cancel_reservation(run)
-        return
-    yield from steps.settle(run, run.request.flat_tokens, run.settle_key)
+    else:
+        yield from steps.settle(run, run.request.flat_tokens, run.settle_key)
 
 
 def _record(run: Run, state: str, **answer: Any) -> steps.Steps:
--- a/fuchsiafork/router/machine_types.py
+++ b/fuchsiafork/router/machine_types.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Generator
 from typing import Any
 
 from fuchsiafork.kernel import Clock, EventRing
@@ -246,6 +247,19 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spawn:
+    """
+    Run further commands in the background; the reply is None at once.
+
+    While they run, the router reports the reservation as open. They yield
+    only `ReadRecord`, `Sleep` and `Tell`.
+    """
+
+    request_id: str
+    steps: Generator[Any, Any, None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sleep:
     """Wait; the reply is None."""
@@ -254,5 +268,12 @@
 
 
 Command = (
-    Ask | Tell | CallTarget | DropAnswer | RelayStream | ReadRecord | Sleep
+    Ask
+    | Tell
+    | CallTarget
+    | DropAnswer
+    | RelayStream
+    | ReadRecord
+    | Spawn
+    | Sleep
 )
--- a/measurements/outcomes_router.py
+++ b/measurements/outcomes_router.py
@@ -28,6 +28,8 @@
 
 RESEND_S = 0.5
 _HOP_S = 0.001
+_BACKGROUND = '.background'
+_INSTANT = (kinds.Tell, kinds.DropAnswer, kinds.Spawn)
 _TOKEN_S = 0.005
 
 
@@ -50,7 +52,7 @@
     """
 
     request_id: str
-    steps: Generator[kinds.Command, Any, kinds.Answer]
+    steps: Generator[kinds.Command, Any, kinds.Answer | None]
     end: End
     leaves: bool
     turn: int = 0
@@ -101,7 +103,11 @@
     def holds(self, grant_id: str, acknowledged_by: type) -> bool:
         """Return whether a grant is open, as its owner would ask."""
         ending = (grant_id, acknowledged_by)
-        return base_of(grant_id) in self.jobs or ending in self.unacknowledged
+        base = base_of(grant_id)
+        running = {base, base + _BACKGROUND}
+        return not running.isdisjoint(self.jobs) or (
+            ending in self.unacknowledged
+        )
 
     def submit(self, request: kinds.Request, end: End, *, leaves: bool) -> str:
         """Return the id under which a request is served from now on."""
@@ -170,16 +176,25 @@
     def _advance(self, job: Job, reply: Any) -> None:
         """Carry out commands up to the next one that takes time."""
         command = job.steps.send(reply)
-        while isinstance(command, kinds.Tell | kinds.DropAnswer):
+        while isinstance(command, _INSTANT):
             if isinstance(command, kinds.Tell):
                 self._tell(command)
+            elif isinstance(command, kinds.Spawn):
+                self._spawn(command)
             command = job.steps.send(None)
         self._start(command, job)
 
+    def _spawn(self, command: kinds.Spawn) -> None:
+        """Run commands that no caller waits for."""
+        name = command.request_id + _BACKGROUND
+        job = Job(name, command.steps, _ignore, leaves=False)
+        self.jobs[name] = job
+        self._resume(job, job.turn, None)
+
     def _finish(
         self,
         job: Job,
-        ended: kinds.Answer | FuchsiaforkError,
+        ended: kinds.Answer | FuchsiaforkError | None,
     ) -> None:
         """Hand the end of a request to its caller."""
         self.jobs.pop(job.request_id, None)
@@ -319,3 +334,7 @@
     """Return a request id without the suffix of a slot or an attempt."""
     start, separator, number = request_id.partition(START_SEPARATOR)
     return start + separator + number.partition('.')[0]
+
+
+def _ignore(request_id: str, ended: Any, delivered: bytes) -> None:
+    """Take the end of commands that no caller waits for."""
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -73,6 +73,7 @@
         self.commands: list[Any] = []
         self.replies = replies
         self.refused: set[str] = set()
+        self.background: list[Any] = []
         self.hooks: dict[int, Callable[[], Any]] = {}
         self.services = kinds.Services(
             vm='a-1',
@@ -95,6 +96,8 @@
                 return error
             self.commands.append(command)
             reply = self._reply(command)
+            if isinstance(command, kinds.Spawn):
+                self.background.extend(command.steps)
             if isinstance(reply, messages.SlotRefused):
                 self.refused.add(command.message.request_id)
 
@@ -102,7 +105,7 @@
         """Return the messages of a type that were sent."""
         return [
             command.message
-            for command in self.commands
+            for command in (*self.commands, *self.background)
             if isinstance(command, kinds.Tell | kinds.Ask)
             and isinstance(command.message, kind)
         ]
@@ -296,6 +299,17 @@
             record = driver.told(messages.RecordOutcome)[0]
             self.assertEqual(record.state, 'unknown')
 
+    def test_record_is_read_again_while_its_target_is_away(self) -> None:
+        """Guards against a bill for a payment whose target was down."""
+        driver = Driver(CallTarget=[kinds.TargetBroken()], ReadRecord=[None])
+        driver.run(PAYMENT)
+        reads = [
+            command
+            for command in driver.background
+            if isinstance(command, kinds.ReadRecord)
+        ]
+        self.assertGreater(len(reads), 10)
+
     def test_call_that_its_target_never_saw_is_not_billed(self) -> None:
         """Guards against a bill for a payment that was not made."""
         driver = Driver(
