Tell a key whose claim is being removed from one in progress

Cause: in store outages retries were told 2007 (outcome unknown) although nothing ran, and each refused retry started a removal of its own. Change: code 2009 (not run, retry is safe); KeyRefused says whether a claim may be stored, and only then does the router report not_run; removals back off up to 30 s; store writes that take effect after they were given up. Conclusion: callers learn that their payment was not run.

--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -146,6 +146,14 @@
     run_state = RunState.OUTCOME_UNKNOWN
 
 
+class KeyClearingError(FuchsiaforkError):
+    """The claim of an earlier request that was not run is being removed."""
+
+    code = 2009
+    status = 503
+    retry_safe = True
+
+
 class BudgetExhaustedError(FuchsiaforkError):
     """The budget cannot cover the request's worst case."""
 
--- a/fuchsiafork/messages/outcomes.py
+++ b/fuchsiafork/messages/outcomes.py
@@ -54,12 +54,15 @@
     The request may not run now.
 
     :ivar code: number of the error, for example 2007 while it is running.
+    :ivar claimed: a claim of this request may be stored, so the router
+        reports that it was not run.
     """
 
     request_id: str
     key: str
     code: int
     retry_after_s: float
+    claimed: bool = False
 
 
 @message
--- a/fuchsiafork/outcomes/claiming.py
+++ b/fuchsiafork/outcomes/claiming.py
@@ -32,7 +32,8 @@
 # Write, read back, write again: a claim that is still unsettled after these
 # is refused, so that a caller is not kept waiting through an outage.
 MAX_OPERATIONS = 5
-_CLEAR_RETRY_S = 1.0
+_CLEAR_RETRY_S = 0.5
+_CLEAR_LONGEST_S = 30.0
 
 
 class Claiming:
@@ -68,6 +69,7 @@
         elif row.state is not State.CLEARING:
             self._table.reopen(row)
             row.state = State.CLEARING
+            row.attempts = 0
             self._read(row)
 
     def retry_clear(self, row: Binding) -> None:
@@ -106,7 +108,9 @@
         if answer.outcome_unknown and row.attempts < MAX_OPERATIONS:
             self._read(row)
         else:
-            self._give_up(row)
+            # A first write that failed without effect leaves no claim.
+            lone = row.attempts == 1 and not answer.outcome_unknown
+            self._give_up(row, claimed=not lone)
 
     @_advance_claim.register
     def _(self, answer: KeyRead, row: Binding) -> None:
@@ -144,7 +148,10 @@
 
     @_advance_clear.register
     def _(self, answer: StoreFailed, row: Binding) -> None:
-        row.retry_at = self._context.clock.now() + _CLEAR_RETRY_S
+        # After an outage the rows must not all read at once.
+        wait = min(_CLEAR_LONGEST_S, _CLEAR_RETRY_S * 2**row.attempts)
+        wait *= self._context.random.uniform(0.5, 1)
+        row.retry_at = self._context.clock.now() + wait
 
     def _code(self, claim: Claim | None, row: Binding) -> int:
         """Return the code for a key that another request has claimed."""
@@ -166,7 +173,7 @@
             messages.KeyBound(row.request_id, row.key),
         )
 
-    def _give_up(self, row: Binding) -> None:
+    def _give_up(self, row: Binding, *, claimed: bool = True) -> None:
         """
         Refuse a request whose claim can't be settled.
 
@@ -174,7 +181,7 @@
         claim that was stored after all: the refusal may be lost, and the
         request then be bound by another keeper under that same claim.
         """
-        self._refuse(row, ClaimUnavailableError.code)
+        self._refuse(row, ClaimUnavailableError.code, claimed=claimed)
         self._table.drop(row.key)
 
     def _free(self, row: Binding) -> None:
@@ -193,7 +200,13 @@
                 messages.OutcomeRecorded(row.request_id, row.key),
             )
 
-    def _refuse(self, row: Binding, code: int) -> None:
+    def _refuse(
+        self,
+        row: Binding,
+        code: int,
+        *,
+        claimed: bool = False,
+    ) -> None:
         """Refuse the request that waits for a claim."""
         final = code in {AlreadyRunError.code, KeyMismatchError.code}
         self._context.outbox.send(
@@ -203,6 +216,7 @@
                 row.key,
                 code,
                 0 if final else RETRY_AFTER_S,
+                claimed,
             ),
         )
 
--- a/fuchsiafork/outcomes/system.py
+++ b/fuchsiafork/outcomes/system.py
@@ -8,6 +8,7 @@
 from fuchsiafork.kernel.errors import (
     AlreadyRunError,
     KeeperUnavailableError,
+    KeyClearingError,
     KeyInProgressError,
     KeyMismatchError,
 )
@@ -178,6 +179,9 @@
             self._bound(message, sender)
         elif row.state is State.CLAIMING and own:
             row.router = sender
+        elif row.state is State.CLEARING:
+            # Nothing runs; only the store keeps the key from its next run.
+            self._refuse(message, sender, KeyClearingError.code)
         else:
             self._refuse(message, sender, KeyInProgressError.code)
 
@@ -263,7 +267,11 @@
 
 
 _OPEN = frozenset((State.RUNNING, State.CLAIMING, State.CLEARING))
-_PASSING = frozenset((KeyInProgressError.code, KeeperUnavailableError.code))
+_PASSING = frozenset((
+    KeyClearingError.code,
+    KeyInProgressError.code,
+    KeeperUnavailableError.code,
+))
 
 
 def _is_replayable(row: Binding) -> bool:
--- a/fuchsiafork/router/machine_state.py
+++ b/fuchsiafork/router/machine_state.py
@@ -18,6 +18,8 @@
     """
     The state of one request.
 
+    :ivar bound: the key's home must hear how the request ended.
+    :ivar asked: how often the last question was sent.
     :ivar reservation: the reservation that is held, if any.
     :ivar valid_until: time by which the first byte must go out.
     :ivar slot: the slot that is held, if any.
@@ -31,6 +33,7 @@
     request: Request
     services: Services
     bound: bool = False
+    asked: int = 0
     reservation: messages.Reserved | None = None
     reservations: int = 0
     valid_until: float = 0
--- a/fuchsiafork/router/machine_steps.py
+++ b/fuchsiafork/router/machine_steps.py
@@ -8,7 +8,6 @@
 
 from fuchsiafork import messages
 from fuchsiafork.kernel.errors import (
-    ClaimUnavailableError,
     KeeperUnavailableError,
     KeyRequiredError,
     NoTargetError,
@@ -37,8 +36,9 @@
 
     :raises KeeperUnavailableError: if no reply comes.
     """
-    for _ in range(ASK_ATTEMPTS):
+    for asked in range(ASK_ATTEMPTS):
         require_time(run)
+        run.asked = asked + 1
         timeout = min(ASK_S, run.remaining_s)
         reply = yield Ask(message, expects, timeout)
         if reply is not None:
@@ -68,15 +68,23 @@
         ),
         (messages.KeyBound, messages.KeyReplay, messages.KeyRefused),
     )
-    # After a refused claim the home must still hear that nothing was run,
-    # since the claim may have been stored without an answer.
-    run.bound = isinstance(reply, messages.KeyBound) or (
-        isinstance(reply, messages.KeyRefused)
-        and reply.code == ClaimUnavailableError.code
-    )
+    run.bound = _is_bound(reply, run)
     return _replayed(reply, run)
 
 
+def _is_bound(reply: Any, run: Run) -> bool:
+    """
+    Return whether the key's home must hear how the request ends.
+
+    A refused request may have left a claim, at this home or at an earlier
+    one whose answer was lost.
+    """
+    if isinstance(reply, messages.KeyRefused):
+        repeated = run.asked > 1 and not run.request.idempotent
+        return reply.claimed or repeated
+    return isinstance(reply, messages.KeyBound)
+
+
 @functools.singledispatch
 def _replayed(reply: Any, run: Run) -> Answer | None:
     """Return the recorded answer that a reply holds, if any."""
--- a/measurements/outcomes_faults.py
+++ b/measurements/outcomes_faults.py
@@ -64,6 +64,8 @@
     for name, rate in rates.items():
         setattr(world.faults, name, rate)
         _later(world, length, setattr, world.faults, name, 0)
+    world.network.late_share = 0.1
+    _later(world, length, setattr, world.network, 'late_share', 0)
 
 
 def _cut(world: World, plan: random.Random, length: float) -> None:
--- a/measurements/outcomes_world.py
+++ b/measurements/outcomes_world.py
@@ -16,7 +16,7 @@
     Outbox,
     StrictInvariants,
 )
-from fuchsiafork.kernel.outbox import StoreAnswer
+from fuchsiafork.kernel.outbox import StoreAnswer, StoreOperation
 from fuchsiafork.membership import MembershipSystem
 from fuchsiafork.outcomes import OutcomeSystem
 from fuchsiafork.router.machine_ids import start_of
@@ -25,7 +25,14 @@
 from measurements.outcomes_router import Serve, VirtualRouter, carry
 from measurements.outcomes_targets import StandInTarget, TargetFaults
 from standins.store_model import StoreModel
-from standins.virtual import Faults, Scheduler, VirtualClock, VirtualNetwork
+from standins.virtual import (
+    Faults,
+    Scheduler,
+    VirtualClock,
+    VirtualNetwork,
+    apply_operation,
+    failed,
+)
 
 DOMAINS = ('a', 'b', 'c')
 VMS_PER_DOMAIN = 3
@@ -34,6 +41,35 @@
 _HURRIED_SHARE = 0.05
 
 
+class LateStoreNetwork(VirtualNetwork):
+    """
+    A network on which a write can take effect after it was given up.
+
+    :ivar late_share: share of the operations that this happens to.
+    """
+
+    late_share: float = 0
+
+    def _operate(self, node: str, operation: StoreOperation) -> None:
+        """Schedule a store operation, its answer, or a late effect."""
+        if self.late_share and self._chance.random() < self.late_share:
+            answer = failed(operation, unknown=True)
+            self.scheduler.call_later(
+                self._chance.uniform(0.01, 0.5),
+                functools.partial(self._answer, node, answer),
+            )
+            self.scheduler.call_later(
+                self._chance.uniform(0.5, 5),
+                functools.partial(self._apply_late, operation),
+            )
+        else:
+            super()._operate(node, operation)
+
+    def _apply_late(self, operation: StoreOperation) -> None:
+        """Let an operation take effect without an answer."""
+        apply_operation(operation, self.store)
+
+
 class Keeper:
     """A keeper's node as an endpoint that also takes routers' links."""
 
@@ -73,7 +109,7 @@
         self.scheduler = Scheduler(self.clock)
         self.store = StoreModel(self.clock.now)
         self.faults = Faults()
-        self.network = VirtualNetwork(
+        self.network = LateStoreNetwork(
             self.scheduler,
             self.store,
             self.chance,
