--- a/measurements/outcomes.py
+++ b/measurements/outcomes.py
@@ -27,6 +27,7 @@
 from measurements.outcomes_counts import count
 from measurements.outcomes_faults import make_fault
 from measurements.outcomes_router import Serve
+from measurements.outcomes_state import measure_state
 from measurements.outcomes_world import World
 
 FAULTS_END_S = 90.0
@@ -141,4 +142,4 @@
     naive = count(run_world(seed, naive_serve, keyed=False))
     held = not any(result[name] for name in MUST_BE_ZERO)
     baseline = {name: naive[name] for name in MUST_BE_ZERO[:-2]}
-    return result | {'baseline': baseline}, held
+    return result | measure_state() | {'baseline': baseline}, held
