Check billed tokens exactly and refuse calls past the deadline

Cause: a reservation can still be valid when the request's deadline has passed, and a bill of 0 tokens took the key's one settlement. Change: the deadline is read right before the call; a settlement of nothing carries the reservation's id; the measurement compares billed tokens with the run's, and the fake holder bounds a target's record to the reservation. Conclusion: a real holder must bound a record in the same way.

--- a/fuchsiafork/router/machine_steps.py
+++ b/fuchsiafork/router/machine_steps.py
@@ -124,6 +124,7 @@
         if not _is_slot_fresh(run):
             yield from release(run, unsent())
             yield from _acquire(run)
+    require_time(run)
 
 
 def _is_ready(run: Run) -> bool:
@@ -168,18 +169,17 @@
 
 
 def cancel_reservation(run: Run) -> Steps:
-    """
-    Give a reservation back that was not used.
-
-    The settlement carries the reservation's own id as its key, so that it
-    does not count as the key's one settlement.
-    """
-    if run.reservation is not None:
-        yield from settle(run, 0, run.reservation.request_id)
+    """Give a reservation back that was not used."""
+    yield from settle(run, 0, '')
 
 
 def settle(run: Run, tokens: int, key: str) -> Steps:
-    """Report the tokens used and forget the reservation."""
+    """
+    Report the tokens used and forget the reservation.
+
+    A settlement of nothing carries the reservation's own id as its key, so
+    that it does not count as the key's one settlement.
+    """
     held = run.reservation
     if held is None:
         return
@@ -191,7 +191,7 @@
             account=run.request.account,
             holder=held.holder,
             tokens=min(tokens, held.tokens),
-            key=key,
+            key=key if tokens else held.request_id,
         ),
         acknowledged_by=messages.SettleAccepted,
     )
--- a/measurements/outcomes.py
+++ b/measurements/outcomes.py
@@ -127,6 +127,7 @@
     'billed_twice',
     'billed_never',
     'billed_without_run',
+    'billed_other_tokens',
     'non_idempotent_reruns',
     'untrue_not_run',
     'truncated_answers',
--- a/measurements/outcomes_callers.py
+++ b/measurements/outcomes_callers.py
@@ -40,6 +40,11 @@
     crossed: bool = False
     attempts: int = 0
 
+    @property
+    def bound(self) -> int:
+        """Tokens that its request reserves."""
+        return _PROMPT + _LIMIT_OF[self.name] if self.engine else 1
+
     def is_whole(self, body: bytes) -> bool:
         """Return whether a body is the whole answer, or cut at the limit."""
         limit = _LIMIT_OF[self.name]
--- a/measurements/outcomes_counts.py
+++ b/measurements/outcomes_counts.py
@@ -60,7 +60,7 @@
             'answered': op.answered,
             'billed_twice': bool(op.key) and len(billed) > 1,
             'billed_never': owes and not billed,
-            'billed_other_tokens': self._is_overbilled(op),
+            'billed_other_tokens': self._is_misbilled(op),
             'non_idempotent_reruns': not op.idempotent and executed > 1,
             'untrue_not_run': any(self.by_request[run] for run in refused),
             'untrue_not_run_by_key': bool(refused)
@@ -81,10 +81,18 @@
             return False
         return op.tries[-1][1] == 'not_run' and self.runs[op.name] > 0
 
-    def _is_overbilled(self, op: Operation) -> bool:
-        """Return whether more was billed than any one run used."""
+    def _is_misbilled(self, op: Operation) -> bool:
+        """
+        Return whether more was billed than any one run used.
+
+        An operation that took one run and one request is billed exactly what
+        that run used, or the bound at which it was cut.
+        """
         most = max(self.used[op.name], default=0)
-        return any(tokens > most for tokens in self.bills[op.name])
+        billed = self.bills[op.name]
+        if op.answered and op.attempts == 1 and self.runs[op.name] == 1:
+            return billed != [min(most, op.bound)]
+        return any(tokens > most for tokens in billed)
 
 
 def count(world: World) -> dict[str, Any]:
--- a/measurements/outcomes_fakes.py
+++ b/measurements/outcomes_fakes.py
@@ -18,6 +18,7 @@
     """An open reservation."""
 
     key: str
+    tokens: int
 
 
 class Ledger:
@@ -38,7 +39,7 @@
     def reserve(self, message: messages.Reserve) -> None:
         """Open a reservation once."""
         if message.request_id not in self._settled:
-            row = Reservation(message.key)
+            row = Reservation(message.key, message.tokens)
             self.open.setdefault(message.request_id, row)
 
     def settle(self, reservation_id: str, key: str, tokens: int) -> None:
@@ -72,7 +73,8 @@
                     target.record_of(reservation_id) or 0
                     for target in targets.values()
                 ]
-                self.settle(reservation_id, row.key, max(found))
+                used = min(max(found), row.tokens)
+                self.settle(reservation_id, row.key, used)
             elif not router.holds(reservation_id, messages.SettleAccepted):
                 self.settle(reservation_id, reservation_id, 0)
 
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -1,6 +1,7 @@
 """Tests of the life of one request, driven by a scripted driver."""
 
 import dataclasses
+import functools
 import json
 import random
 import unittest
@@ -193,6 +194,13 @@
         kinds_seen = [row.kind for row in driver.services.events.since(0)]
         self.assertIn('target_over_limit', kinds_seen)
 
+    def test_error_answer_does_not_use_the_keys_settlement(self) -> None:
+        """Guards against a later run that is never billed."""
+        driver = Driver(CallTarget=[head('r1', 404)])
+        self.assertEqual(driver.run().status, 404)
+        settle = driver.told(messages.Settle)[0]
+        self.assertEqual((settle.tokens, settle.key), (0, 'r1'))
+
     def test_replay_runs_nothing(self) -> None:
         """Guards against a second run of a key that is done."""
         row = messages.KeyReplay('r1', 'k1', 'r0', 200, 'x', b'plan', 'v1')
@@ -272,12 +280,15 @@
 
     def test_request_past_its_deadline_is_not_sent(self) -> None:
         """Guards against work that a paused router sends too late."""
-        driver = Driver()
-        driver.hooks[4] = lambda: driver.clock.advance(40)
-        error = driver.run(PAYMENT)
-        self.assertEqual((error.code, error.run_state), (2202, 'not_run'))
-        self.assertEqual(driver.calls(), [])
-        self.check_end(driver)
+        for deadline in (30.0, 1.0):
+            driver = Driver()
+            pause = deadline + 0.1
+            driver.hooks[4] = functools.partial(driver.clock.advance, pause)
+            payment = dataclasses.replace(PAYMENT, deadline=deadline)
+            error = driver.run(payment)
+            self.assertEqual((error.code, error.run_state), (2202, 'not_run'))
+            self.assertEqual(driver.calls(), [])
+            self.check_end(driver)
         self.assertTrue(ReservationLapsedError.retry_safe)
 
 
