Report grants that no live router knew of

Cause: the fakes take such grants back, which would hide a leak in the machine from slots_left and reservations_left. Conclusion: a leak would show as a rise of this count.

--- a/measurements/outcomes_counts.py
+++ b/measurements/outcomes_counts.py
@@ -110,6 +110,7 @@
         'billed_without_run': len(tally.bills['']),
         'slots_left': _count_slots(world),
         'reservations_left': len(world.ledger.open),
+        'grants_taken_back': world.ledger.taken_back,
         'executions': len(tally.executions),
         'duplicates_not_billed': len(world.ledger.duplicates),
         'refused': dict(sorted(states.items())),
--- a/measurements/outcomes_fakes.py
+++ b/measurements/outcomes_fakes.py
@@ -27,6 +27,7 @@
 
     :ivar bills: settle key to the reservation id and tokens that count.
     :ivar duplicates: reservation ids that were settled under a used key.
+    :ivar taken_back: grants that a live router did not know of when asked.
     """
 
     def __init__(self) -> None:
@@ -34,6 +35,7 @@
         self.open: dict[str, Reservation] = {}
         self.bills: dict[str, tuple[str, int]] = {}
         self.duplicates: list[str] = []
+        self.taken_back = 0
         self._settled: set[str] = set()
 
     def reserve(self, message: messages.Reserve) -> None:
@@ -77,6 +79,7 @@
                 self.settle(reservation_id, row.key, used)
             elif not router.holds(reservation_id, messages.SettleAccepted):
                 self.settle(reservation_id, reservation_id, 0)
+                self.taken_back += 1
 
 
 class FakeHolder(System):
--- a/measurements/outcomes_world.py
+++ b/measurements/outcomes_world.py
@@ -241,6 +241,7 @@
             router = routers.get(start_of(slot_id))
             if router and not router.holds(slot_id, messages.SlotReleased):
                 self.slots.pop(slot_id)
+                self.ledger.taken_back += 1
         self.scheduler.call_later(_CLOSE_S, self.close_lost)
 
     def _start_caller(self, operation: Operation) -> None:
