--- a/fuchsiafork/outcomes/claiming.py
+++ b/fuchsiafork/outcomes/claiming.py
@@ -1,6 +1,7 @@
 """Claims a non-idempotent call in the key-value service, or gives it back."""
 
 import functools
+import itertools
 from typing import Any
 
 from fuchsiafork import messages
@@ -31,21 +32,25 @@
 # Write, read back, write again: a claim that is still unsettled after these
 # is refused, so that a caller is not kept waiting through an outage.
 MAX_OPERATIONS = 5
-_CLEAR_RETRY_S = 1.0
+_CLEAR_RETRY_S = 0.5
+_CLEAR_LONGEST_S = 30.0
 
 
 class Claiming:
     """
     Store operations of the rows in the states CLAIMING and CLEARING.
 
-    A row waits for one operation at a time; its number is in the tag, and an
-    answer with another number is ignored.
+    A row waits for one operation at a time; its tag is unique among all
+    starts of all keepers, and an answer with another tag is ignored. A number
+    counted by row would match the answer to a claim of an earlier row of the
+    same key, which another request made.
     """
 
     def __init__(self, context: Context, table: BindingTable) -> None:
         """Work on the rows of a table."""
         self._context = context
         self._table = table
+        self._numbers = itertools.count(1)
 
     def claim(self, row: Binding, deadline_s: float) -> None:
         """Start the claim of a row for its request."""
@@ -64,6 +69,7 @@
         elif row.state is not State.CLEARING:
             self._table.reopen(row)
             row.state = State.CLEARING
+            row.attempts = 0
             self._read(row)
 
     def retry_clear(self, row: Binding) -> None:
@@ -74,10 +80,9 @@
 
     def take(self, answer: Any) -> None:
         """Take the store's answer to an operation of a row."""
-        _, _, rest = answer.tag.partition(TAG)
-        key, _, number = rest.partition(':')
+        key = answer.tag.removeprefix(TAG).partition(':')[0]
         row = self._table.rows.get(key)
-        if row is None or str(row.operation) != number:
+        if row is None or row.operation != answer.tag:
             return
         if row.state is State.CLAIMING:
             self._advance_claim(answer, row)
@@ -103,7 +108,9 @@
         if answer.outcome_unknown and row.attempts < MAX_OPERATIONS:
             self._read(row)
         else:
-            self._give_up(row)
+            # A first write that failed without effect leaves no claim.
+            lone = row.attempts == 1 and not answer.outcome_unknown
+            self._give_up(row, claimed=not lone)
 
     @_advance_claim.register
     def _(self, answer: KeyRead, row: Binding) -> None:
@@ -141,7 +148,10 @@
 
     @_advance_clear.register
     def _(self, answer: StoreFailed, row: Binding) -> None:
-        row.retry_at = self._context.clock.now() + _CLEAR_RETRY_S
+        # After an outage the rows must not all read at once.
+        wait = min(_CLEAR_LONGEST_S, _CLEAR_RETRY_S * 2**row.attempts)
+        wait *= self._context.random.uniform(0.5, 1)
+        row.retry_at = self._context.clock.now() + wait
 
     def _code(self, claim: Claim | None, row: Binding) -> int:
         """Return the code for a key that another request has claimed."""
@@ -163,7 +173,7 @@
             messages.KeyBound(row.request_id, row.key),
         )
 
-    def _give_up(self, row: Binding) -> None:
+    def _give_up(self, row: Binding, *, claimed: bool = True) -> None:
         """
         Refuse a request whose claim can't be settled.
 
@@ -171,7 +181,7 @@
         claim that was stored after all: the refusal may be lost, and the
         request then be bound by another keeper under that same claim.
         """
-        self._refuse(row, ClaimUnavailableError.code)
+        self._refuse(row, ClaimUnavailableError.code, claimed=claimed)
         self._table.drop(row.key)
 
     def _free(self, row: Binding) -> None:
@@ -190,7 +200,13 @@
                 messages.OutcomeRecorded(row.request_id, row.key),
             )
 
-    def _refuse(self, row: Binding, code: int) -> None:
+    def _refuse(
+        self,
+        row: Binding,
+        code: int,
+        *,
+        claimed: bool = False,
+    ) -> None:
         """Refuse the request that waits for a claim."""
         final = code in {AlreadyRunError.code, KeyMismatchError.code}
         self._context.outbox.send(
@@ -200,6 +216,7 @@
                 row.key,
                 code,
                 0 if final else RETRY_AFTER_S,
+                claimed,
             ),
         )
 
@@ -228,6 +245,8 @@
 
     def _tag(self, row: Binding) -> str:
         """Return the tag of the row's next operation."""
-        row.operation += 1
+        incarnation = self._context.identity.incarnation
+        number = next(self._numbers)
+        row.operation = f'{TAG}{row.key}:{incarnation}:{number}'
         row.attempts += 1
-        return f'{TAG}{row.key}:{row.operation}'
+        return row.operation
--- a/fuchsiafork/router/machine_steps.py
+++ b/fuchsiafork/router/machine_steps.py
@@ -8,7 +8,6 @@
 
 from fuchsiafork import messages
 from fuchsiafork.kernel.errors import (
-    ClaimUnavailableError,
     KeeperUnavailableError,
     KeyRequiredError,
     NoTargetError,
@@ -37,8 +36,9 @@
 
     :raises KeeperUnavailableError: if no reply comes.
     """
-    for _ in range(ASK_ATTEMPTS):
+    for asked in range(ASK_ATTEMPTS):
         require_time(run)
+        run.asked = asked + 1
         timeout = min(ASK_S, run.remaining_s)
         reply = yield Ask(message, expects, timeout)
         if reply is not None:
@@ -68,15 +68,23 @@
         ),
         (messages.KeyBound, messages.KeyReplay, messages.KeyRefused),
     )
-    # After a refused claim the home must still hear that nothing was run,
-    # since the claim may have been stored without an answer.
-    run.bound = isinstance(reply, messages.KeyBound) or (
-        isinstance(reply, messages.KeyRefused)
-        and reply.code == ClaimUnavailableError.code
-    )
+    run.bound = _is_bound(reply, run)
     return _replayed(reply, run)
 
 
+def _is_bound(reply: Any, run: Run) -> bool:
+    """
+    Return whether the key's home must hear how the request ends.
+
+    A refused request may have left a claim, at this home or at an earlier
+    one whose answer was lost.
+    """
+    if isinstance(reply, messages.KeyRefused):
+        repeated = run.asked > 1 and not run.request.idempotent
+        return reply.claimed or repeated
+    return isinstance(reply, messages.KeyBound)
+
+
 @functools.singledispatch
 def _replayed(reply: Any, run: Run) -> Answer | None:
     """Return the recorded answer that a reply holds, if any."""
@@ -116,6 +124,7 @@
         if not _is_slot_fresh(run):
             yield from release(run, unsent())
             yield from _acquire(run)
+    require_time(run)
 
 
 def _is_ready(run: Run) -> bool:
@@ -160,18 +169,17 @@
 
 
 def cancel_reservation(run: Run) -> Steps:
-    """
-    Give a reservation back that was not used.
-
-    The settlement carries the reservation's own id as its key, so that it
-    does not count as the key's one settlement.
-    """
-    if run.reservation is not None:
-        yield from settle(run, 0, run.reservation.request_id)
+    """Give a reservation back that was not used."""
+    yield from settle(run, 0, '')
 
 
 def settle(run: Run, tokens: int, key: str) -> Steps:
-    """Report the tokens used and forget the reservation."""
+    """
+    Report the tokens used and forget the reservation.
+
+    A settlement of nothing carries the reservation's own id as its key, so
+    that it does not count as the key's one settlement.
+    """
     held = run.reservation
     if held is None:
         return
@@ -183,7 +191,7 @@
             account=run.request.account,
             holder=held.holder,
             tokens=min(tokens, held.tokens),
-            key=key,
+            key=key if tokens else held.request_id,
         ),
         acknowledged_by=messages.SettleAccepted,
     )
--- a/measurements/outcomes.py
+++ b/measurements/outcomes.py
@@ -27,13 +27,15 @@
 from measurements.outcomes_counts import count
 from measurements.outcomes_faults import make_fault
 from measurements.outcomes_router import Serve
+from measurements.outcomes_state import measure_state
 from measurements.outcomes_world import World
 
 FAULTS_END_S = 90.0
 # Longer than the time for which callers go on trying.
-DRAINED_S = 260.0
+DRAINED_S = 180.0
 _REQUESTS_PER_S = 45
-_FAULT_EVERY_S = 2.0
+# Denser faults overlap; a fault that needs three at once was seen only so.
+_FAULT_EVERY_S = 0.8
 
 
 def naive_serve(
@@ -96,6 +98,7 @@
     *,
     keyed: bool = True,
     until: float = FAULTS_END_S,
+    drained_s: float = DRAINED_S,
 ) -> World:
     """Return a world after its faults, with all callers finished."""
     world = World(seed, serve, keyed=keyed)
@@ -116,7 +119,7 @@
             moment,
             functools.partial(make_fault, world, plan),
         )
-    world.scheduler.run_until(until + DRAINED_S)
+    world.scheduler.run_until(until + drained_s)
     return world
 
 
@@ -124,6 +127,7 @@
     'billed_twice',
     'billed_never',
     'billed_without_run',
+    'billed_other_tokens',
     'non_idempotent_reruns',
     'untrue_not_run',
     'truncated_answers',
@@ -139,4 +143,4 @@
     naive = count(run_world(seed, naive_serve, keyed=False))
     held = not any(result[name] for name in MUST_BE_ZERO)
     baseline = {name: naive[name] for name in MUST_BE_ZERO[:-2]}
-    return result | {'baseline': baseline}, held
+    return result | measure_state() | {'baseline': baseline}, held
--- a/measurements/outcomes_callers.py
+++ b/measurements/outcomes_callers.py
@@ -23,8 +23,7 @@
     """
     What a caller wants done once.
 
-    :ivar large: the answer is over the bound for replays.
-    :ivar tries: request id and run state of each refused attempt.
+    :ivar tries: request id, run state and code of each refused attempt.
     :ivar answered: an answer was handed over as whole.
     """
 
@@ -35,12 +34,17 @@
     tokens: int
     leaves: bool
     domain: str
-    tries: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    tries: list[tuple[str, str, int]] = dataclasses.field(default_factory=list)
     answered: bool = False
     truncated: bool = False
     crossed: bool = False
     attempts: int = 0
 
+    @property
+    def bound(self) -> int:
+        """Tokens that its request reserves."""
+        return _PROMPT + _LIMIT_OF[self.name] if self.engine else 1
+
     def is_whole(self, body: bytes) -> bool:
         """Return whether a body is the whole answer, or cut at the limit."""
         limit = _LIMIT_OF[self.name]
@@ -165,7 +169,7 @@
             if operation.key or not self._keyed:
                 self._again(0.2)
             return
-        operation.tries.append((request_id, ended.run_state))
+        operation.tries.append((request_id, ended.run_state, ended.code))
         safe = ended.retry_safe or (operation.key and operation.leaves)
         if operation.idempotent and ended.run_state == 'run':
             safe = bool(operation.key)
--- a/measurements/outcomes_counts.py
+++ b/measurements/outcomes_counts.py
@@ -55,12 +55,12 @@
         executed = self.runs[op.name]
         # A non-idempotent call is paid for once it took effect.
         owes = op.answered or (not op.idempotent and executed > 0)
-        refused = [run for run, state in op.tries if state == 'not_run']
+        refused = [row[0] for row in op.tries if row[1] == 'not_run']
         return {
             'answered': op.answered,
             'billed_twice': bool(op.key) and len(billed) > 1,
             'billed_never': owes and not billed,
-            'billed_other_tokens': self._is_overbilled(op),
+            'billed_other_tokens': self._is_misbilled(op),
             'non_idempotent_reruns': not op.idempotent and executed > 1,
             'untrue_not_run': any(self.by_request[run] for run in refused),
             'untrue_not_run_by_key': bool(refused)
@@ -81,10 +81,18 @@
             return False
         return op.tries[-1][1] == 'not_run' and self.runs[op.name] > 0
 
-    def _is_overbilled(self, op: Operation) -> bool:
-        """Return whether more was billed than any one run used."""
+    def _is_misbilled(self, op: Operation) -> bool:
+        """
+        Return whether more was billed than any one run used.
+
+        An operation that took one run and one request is billed exactly what
+        that run used, or the bound at which it was cut.
+        """
         most = max(self.used[op.name], default=0)
-        return any(tokens > most for tokens in self.bills[op.name])
+        billed = self.bills[op.name]
+        if op.answered and op.attempts == 1 and self.runs[op.name] == 1:
+            return billed != [min(most, op.bound)]
+        return any(tokens > most for tokens in billed)
 
 
 def count(world: World) -> dict[str, Any]:
@@ -93,20 +101,20 @@
     totals: collections.Counter[str] = collections.Counter()
     for op in world.operations:
         totals.update(tally.of(op))
-    states = collections.Counter(
-        str(refused[1])
-        for operation in world.operations
-        for refused in operation.tries
-    )
+    tries = [row for done in world.operations for row in done.tries]
+    states = collections.Counter(str(row[1]) for row in tries)
+    codes = collections.Counter(str(row[2]) for row in tries)
     return {
         'requests': len(world.operations),
         **{name: int(totals[name]) for name in _BY_OPERATION},
         'billed_without_run': len(tally.bills['']),
         'slots_left': _count_slots(world),
         'reservations_left': len(world.ledger.open),
+        'grants_taken_back': world.ledger.taken_back,
         'executions': len(tally.executions),
         'duplicates_not_billed': len(world.ledger.duplicates),
         'refused': dict(sorted(states.items())),
+        'refused_by_code': dict(sorted(codes.items())),
         'target_faults': count_by_cause(world.targets),
         'faults': dict(sorted(world.faults_made.items())),
         'store_writes': world.store.calls['write'],
--- a/measurements/outcomes_fakes.py
+++ b/measurements/outcomes_fakes.py
@@ -18,6 +18,7 @@
     """An open reservation."""
 
     key: str
+    tokens: int
 
 
 class Ledger:
@@ -26,6 +27,7 @@
 
     :ivar bills: settle key to the reservation id and tokens that count.
     :ivar duplicates: reservation ids that were settled under a used key.
+    :ivar taken_back: grants that a live router did not know of when asked.
     """
 
     def __init__(self) -> None:
@@ -33,12 +35,13 @@
         self.open: dict[str, Reservation] = {}
         self.bills: dict[str, tuple[str, int]] = {}
         self.duplicates: list[str] = []
+        self.taken_back = 0
         self._settled: set[str] = set()
 
     def reserve(self, message: messages.Reserve) -> None:
         """Open a reservation once."""
         if message.request_id not in self._settled:
-            row = Reservation(message.key)
+            row = Reservation(message.key, message.tokens)
             self.open.setdefault(message.request_id, row)
 
     def settle(self, reservation_id: str, key: str, tokens: int) -> None:
@@ -72,9 +75,11 @@
                     target.record_of(reservation_id) or 0
                     for target in targets.values()
                 ]
-                self.settle(reservation_id, row.key, max(found))
-            elif not router.holds(reservation_id):
+                used = min(max(found), row.tokens)
+                self.settle(reservation_id, row.key, used)
+            elif not router.holds(reservation_id, messages.SettleAccepted):
                 self.settle(reservation_id, reservation_id, 0)
+                self.taken_back += 1
 
 
 class FakeHolder(System):
--- a/measurements/outcomes_world.py
+++ b/measurements/outcomes_world.py
@@ -16,20 +16,58 @@
     Outbox,
     StrictInvariants,
 )
-from fuchsiafork.kernel.outbox import StoreAnswer
+from fuchsiafork.kernel.outbox import StoreAnswer, StoreOperation
 from fuchsiafork.membership import MembershipSystem
 from fuchsiafork.outcomes import OutcomeSystem
+from fuchsiafork.router.machine_ids import start_of
 from measurements.outcomes_callers import Caller, Operation, make_operation
 from measurements.outcomes_fakes import FakeDispatch, FakeHolder, Ledger
 from measurements.outcomes_router import Serve, VirtualRouter, carry
 from measurements.outcomes_targets import StandInTarget, TargetFaults
 from standins.store_model import StoreModel
-from standins.virtual import Faults, Scheduler, VirtualClock, VirtualNetwork
+from standins.virtual import (
+    Faults,
+    Scheduler,
+    VirtualClock,
+    VirtualNetwork,
+    apply_operation,
+    failed,
+)
 
 DOMAINS = ('a', 'b', 'c')
 VMS_PER_DOMAIN = 3
 _TICK_S = 0.1
 _CLOSE_S = 1.0
+_HURRIED_SHARE = 0.05
+
+
+class LateStoreNetwork(VirtualNetwork):
+    """
+    A network on which a write can take effect after it was given up.
+
+    :ivar late_share: share of the operations that this happens to.
+    """
+
+    late_share: float = 0
+
+    def _operate(self, node: str, operation: StoreOperation) -> None:
+        """Schedule a store operation, its answer, or a late effect."""
+        if self.late_share and self._chance.random() < self.late_share:
+            answer = failed(operation, unknown=True)
+            self.scheduler.call_later(
+                self._chance.uniform(0.01, 0.5),
+                functools.partial(self._answer, node, answer),
+            )
+            self.scheduler.call_later(
+                self._chance.uniform(0.5, 5),
+                functools.partial(self._apply_late, operation),
+            )
+        else:
+            super()._operate(node, operation)
+
+    def _apply_late(self, operation: StoreOperation) -> None:
+        """Let an operation take effect without an answer."""
+        apply_operation(operation, self.store)
 
 
 class Keeper:
@@ -71,7 +109,7 @@
         self.scheduler = Scheduler(self.clock)
         self.store = StoreModel(self.clock.now)
         self.faults = Faults()
-        self.network = VirtualNetwork(
+        self.network = LateStoreNetwork(
             self.scheduler,
             self.store,
             self.chance,
@@ -186,6 +224,28 @@
         domain = self.chance.choice(DOMAINS)
         operation = make_operation(number, self.chance, domain)
         self.operations.append(operation)
+        self._start_caller(operation)
+        if operation.key and self.chance.random() < _HURRIED_SHARE:
+            # An impatient caller asks again before the first answer.
+            self.scheduler.call_later(
+                self.chance.uniform(0, 3),
+                functools.partial(self._start_caller, operation),
+            )
+
+    def close_lost(self) -> None:
+        """Let the holders settle what no router holds, again and again."""
+        routers = {router.start: router for router in self.routers.values()}
+        self.ledger.close_lost(routers, self.targets)
+        # The owner of a slot asks its router in the same way.
+        for slot_id in tuple(self.slots):
+            router = routers.get(start_of(slot_id))
+            if router and not router.holds(slot_id, messages.SlotReleased):
+                self.slots.pop(slot_id)
+                self.ledger.taken_back += 1
+        self.scheduler.call_later(_CLOSE_S, self.close_lost)
+
+    def _start_caller(self, operation: Operation) -> None:
+        """Start a caller that drives an operation."""
         Caller(
             operation,
             self.scheduler,
@@ -194,12 +254,6 @@
             keyed=self._keyed,
         )
 
-    def close_lost(self) -> None:
-        """Let the holders settle what no router holds, again and again."""
-        routers = {router.start: router for router in self.routers.values()}
-        self.ledger.close_lost(routers, self.targets)
-        self.scheduler.call_later(_CLOSE_S, self.close_lost)
-
     def _pick_router(self, domain: str) -> VirtualRouter | None:
         """Return a live router, mostly of the caller's own domain."""
         routers = list(self.routers.values())
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -1,6 +1,7 @@
 """Tests of the life of one request, driven by a scripted driver."""
 
 import dataclasses
+import functools
 import json
 import random
 import unittest
@@ -73,6 +74,7 @@
         self.commands: list[Any] = []
         self.replies = replies
         self.refused: set[str] = set()
+        self.background: list[Any] = []
         self.hooks: dict[int, Callable[[], Any]] = {}
         self.services = kinds.Services(
             vm='a-1',
@@ -95,6 +97,8 @@
                 return error
             self.commands.append(command)
             reply = self._reply(command)
+            if isinstance(command, kinds.Spawn):
+                self.background.extend(command.steps)
             if isinstance(reply, messages.SlotRefused):
                 self.refused.add(command.message.request_id)
 
@@ -102,7 +106,7 @@
         """Return the messages of a type that were sent."""
         return [
             command.message
-            for command in self.commands
+            for command in (*self.commands, *self.background)
             if isinstance(command, kinds.Tell | kinds.Ask)
             and isinstance(command.message, kind)
         ]
@@ -190,6 +194,13 @@
         kinds_seen = [row.kind for row in driver.services.events.since(0)]
         self.assertIn('target_over_limit', kinds_seen)
 
+    def test_error_answer_does_not_use_the_keys_settlement(self) -> None:
+        """Guards against a later run that is never billed."""
+        driver = Driver(CallTarget=[head('r1', 404)])
+        self.assertEqual(driver.run().status, 404)
+        settle = driver.told(messages.Settle)[0]
+        self.assertEqual((settle.tokens, settle.key), (0, 'r1'))
+
     def test_replay_runs_nothing(self) -> None:
         """Guards against a second run of a key that is done."""
         row = messages.KeyReplay('r1', 'k1', 'r0', 200, 'x', b'plan', 'v1')
@@ -241,9 +252,15 @@
     def test_refused_claim_still_reports_not_run(self) -> None:
         """Guards against a claim left behind by a lost store answer."""
         refused = messages.KeyRefused('r1', 'k1', 2205, 1)
-        driver = Driver(BindKey=[refused])
-        self.assertEqual(driver.run(PAYMENT).code, 2205)
-        self.check_end(driver)
+        claimed = dataclasses.replace(refused, claimed=True)
+        for replies, bound in (
+            ([refused], False),
+            ([claimed], True),
+            ([None, refused], True),
+        ):
+            driver = Driver(BindKey=replies)
+            self.assertEqual(driver.run(PAYMENT).code, 2205)
+            self.check_end(driver, bound=bound)
 
 
 class TestDeadlines(MachineCase):
@@ -263,12 +280,15 @@
 
     def test_request_past_its_deadline_is_not_sent(self) -> None:
         """Guards against work that a paused router sends too late."""
-        driver = Driver()
-        driver.hooks[4] = lambda: driver.clock.advance(40)
-        error = driver.run(PAYMENT)
-        self.assertEqual((error.code, error.run_state), (2202, 'not_run'))
-        self.assertEqual(driver.calls(), [])
-        self.check_end(driver)
+        for deadline in (30.0, 1.0):
+            driver = Driver()
+            pause = deadline + 0.1
+            driver.hooks[4] = functools.partial(driver.clock.advance, pause)
+            payment = dataclasses.replace(PAYMENT, deadline=deadline)
+            error = driver.run(payment)
+            self.assertEqual((error.code, error.run_state), (2202, 'not_run'))
+            self.assertEqual(driver.calls(), [])
+            self.check_end(driver)
         self.assertTrue(ReservationLapsedError.retry_safe)
 
 
@@ -296,6 +316,17 @@
             record = driver.told(messages.RecordOutcome)[0]
             self.assertEqual(record.state, 'unknown')
 
+    def test_record_is_read_again_while_its_target_is_away(self) -> None:
+        """Guards against a bill for a payment whose target was down."""
+        driver = Driver(CallTarget=[kinds.TargetBroken()], ReadRecord=[None])
+        driver.run(PAYMENT)
+        reads = [
+            command
+            for command in driver.background
+            if isinstance(command, kinds.ReadRecord)
+        ]
+        self.assertGreater(len(reads), 10)
+
     def test_call_that_its_target_never_saw_is_not_billed(self) -> None:
         """Guards against a bill for a payment that was not made."""
         driver = Driver(
