Hold a suspect version in the whole fleet until it is compared

Cause: later faults took up to 33 requests, each domain waited for its own second failure before it held. Change: open trials are reported and summed over keepers; verdicts are sent to peers that come back instead of every second; fewer reports of proven versions.

--- a/fuchsiafork/rollouts/evidence.py
+++ b/fuchsiafork/rollouts/evidence.py
@@ -22,7 +22,7 @@
 )
 
 # Two failures close together; one failure alone is no reason to hold.
-_LOG_SUSPICION = 4.5
+LOG_SUSPICION = 4.5
 # Trials that found no request of the old version beside them are dropped.
 _PENDING_S = 120.0
 _PENDING_BOUND = 64
@@ -58,7 +58,6 @@
         # Trials with their provisional log ratios, one a test.
         self._pending: collections.deque[tuple[Ended, list[float]]]
         self._pending = collections.deque(maxlen=_PENDING_BOUND)
-        self.suspicion = 0.0
 
     def add_old(self, now: float, observation: Observation) -> bool:
         """Return whether a request of the old version completed a trial."""
@@ -73,18 +72,14 @@
         self._pending.append((trial, self._provisional(trial)))
         self._suspect()
 
-    @property
-    def suspect(self) -> bool:
-        """Whether requests of the old version are needed for comparison."""
-        return self.suspicion >= _LOG_SUSPICION
-
     def settle(self, now: float) -> bool:
-        """Return whether trials got their comparison."""
+        """Return whether trials were compared, or dropped as too old."""
         open_before = len(self._pending)
-        settled = self._pop_settled(now)
-        if len(self._pending) != open_before:
+        self._pop_settled(now)
+        changed = len(self._pending) != open_before
+        if changed:
             self._suspect()
-        return settled
+        return changed
 
     def _provisional(self, trial: Ended) -> list[float]:
         """Return a trial's greatest log ratio by test, for the time being."""
@@ -95,18 +90,18 @@
         return [max(row, default=0.0) for row in ratios]
 
     def _suspect(self) -> None:
-        """Find the greatest evidence in the trials not yet compared."""
+        """Sum up the evidence in the trials not yet compared."""
         sums = [0.0 for _ in TESTS]
         for _, ratios in self._pending:
             sums = [
                 max(0.0, have + ratio)
                 for have, ratio in zip(sums, ratios, strict=True)
             ]
-        self.suspicion = max(sums)
+        for test, total in zip(TESTS, sums, strict=True):
+            self.source.log_ratios[_pending(test)] = total
 
-    def _pop_settled(self, now: float) -> bool:
-        """Return whether open trials were counted; drop those too old."""
-        settled = False
+    def _pop_settled(self, now: float) -> None:
+        """Count the trials that can be compared; drop those too old."""
         while self._pending:
             trial = self._pending[0][0]
             ready = len(self.baseline.after(trial.time)) >= AFTER
@@ -115,8 +110,6 @@
             self._pending.popleft()
             if ready:
                 self._count(trial)
-                settled = True
-        return settled
 
     def _count(self, trial: Ended) -> None:
         """Add a trial's log ratios to the cumulative ones."""
@@ -200,6 +193,22 @@
             if now - source.received < _FRESH_S
         )
 
+    def suspicion(self, now: float) -> float:
+        """
+        Return the greatest evidence in trials that lack a comparison.
+
+        Summed up over the keepers: on a sparse route each has few.
+        """
+        fresh = [
+            source.log_ratios
+            for source in self.sources.values()
+            if now - source.received < _FRESH_S
+        ]
+        return max(
+            sum(ratios.get(_pending(test), 0.0) for ratios in fresh)
+            for test in TESTS
+        )
+
     @property
     def condemned(self) -> bool:
         """Whether the evidence says that the version is bad."""
@@ -239,3 +248,8 @@
             domain,
             {test: ChangeTest(size) for test, size in self._sizes.items()},
         )
+
+
+def _pending(test: str) -> str:
+    """Return the name under which a test's open trials are reported."""
+    return f'{test}:pending'
--- a/fuchsiafork/rollouts/row.py
+++ b/fuchsiafork/rollouts/row.py
@@ -6,7 +6,12 @@
 from fuchsiafork.configuration import Rollout
 from fuchsiafork.kernel import Context
 from fuchsiafork.messages import EvidenceReport, Observation
-from fuchsiafork.rollouts.evidence import Evidence, LocalTrials, Source
+from fuchsiafork.rollouts.evidence import (
+    LOG_SUSPICION,
+    Evidence,
+    LocalTrials,
+    Source,
+)
 from fuchsiafork.rollouts.schedule import (
     FIRST_REQUESTS,
     UNPROVEN_IN_FLIGHT,
@@ -32,6 +37,8 @@
         self.name = name
         self.section = section
         self.digest = section_digest(section)
+        self.start = section.start.timestamp()
+        self.deadline = section.deadline.timestamp()
         self.dirty = False
         self.next_report = 0.0
         # Kinds of events that were recorded and are not to be repeated.
@@ -45,21 +52,12 @@
         self._draw = 1.0
         self._earned = 0.0
 
-    def started(self, wall: float) -> bool:
-        """Return whether the rollout's start has passed."""
-        return wall >= self.section.start.timestamp()
-
-    def overdue(self) -> bool:
-        """Return whether the deadline has passed."""
-        return self.section.remaining_s(self._context.clock.wall()) <= 0
-
     def share(self) -> float:
         """Return the share that evidence and time allow."""
-        length = self.section.deadline - self.section.start
-        remaining = self.section.remaining_s(self._context.clock.wall())
+        elapsed = self._context.clock.wall() - self.start
         return share_of(
             Progress(
-                elapsed=1 - remaining / length.total_seconds(),
+                elapsed=elapsed / (self.deadline - self.start),
                 proofs=self.evidence.proofs(),
                 log_evidence=self.evidence.worst()[0],
             ),
@@ -147,11 +145,18 @@
             log_ratios=dict(source.log_ratios),
         )
 
+    @property
+    def suspect(self) -> bool:
+        """Whether the old version's requests are needed for comparison."""
+        now = self._context.clock.now()
+        return self.evidence.suspicion(now) >= LOG_SUSPICION
+
     @property
     def waiting(self) -> bool:
-        """Whether requests that this keeper counted are in flight."""
+        """Whether requests in flight are counted against a bound."""
         source = self.trials.source
-        return source.started > source.observed
+        open_here = source.started > source.observed
+        return open_here and self.evidence.proofs() < 1
 
     def _crowded(self) -> bool:
         """Return whether too many requests have no observation yet."""
--- a/fuchsiafork/rollouts/spreading.py
+++ b/fuchsiafork/rollouts/spreading.py
@@ -1,5 +1,6 @@
 """Sends evidence and verdicts to the other keepers."""
 
+from collections.abc import Iterable
 from typing import Any
 
 from fuchsiafork.kernel import Context
@@ -8,8 +9,10 @@
 from fuchsiafork.rollouts.row import RolloutRow
 from fuchsiafork.rollouts.verdicts import VerdictBook
 
-_INTERVAL_S = 0.25
+_INTERVAL_S = 0.5
 _IDLE_INTERVAL_S = 2.0
+# Makes up for messages that a closing link has lost.
+_REPEAT_S = 10.0
 
 
 class Spreader:
@@ -25,6 +28,8 @@
         self._context = context
         self._peers = peers
         self._book = book
+        self._known: set[str] = set()
+        self._next_repeat = 0.0
 
     def report(self, row: RolloutRow, *, urgent: bool = False) -> None:
         """
@@ -40,6 +45,24 @@
         row.next_report = now + interval
         self._send(row.report(), [*self._peers.near(), *self._peers.far()])
 
+    def greet(self, rows: Iterable[RolloutRow]) -> None:
+        """
+        Send all to peers that were not there before.
+
+        A domain that was cut off learns the verdicts when it is back.
+        """
+        now = self._context.clock.now()
+        peers = {*self._peers.near(), *self._peers.far()}
+        if now >= self._next_repeat:
+            self._next_repeat = now + _REPEAT_S
+            self._known = set()
+        fresh = sorted(peers - self._known)
+        self._known = peers
+        if fresh:
+            for row in rows:
+                self._send(row.report(), fresh)
+                self._send_verdicts(row.name, row.digest, fresh)
+
     def relay(self, report: EvidenceReport, sender: str) -> None:
         """Pass a report that came straight from another domain on in ours."""
         direct = report.node.partition('#')[0] == sender
@@ -48,6 +71,16 @@
 
     def send_notices(self, rollout: str, section: str) -> None:
         """Send the verdicts on a rollout section to all peers."""
+        nodes = [*self._peers.near(), *self._peers.far()]
+        self._send_verdicts(rollout, section, nodes)
+
+    def _send_verdicts(
+        self,
+        rollout: str,
+        section: str,
+        nodes: list[str],
+    ) -> None:
+        """Send the verdicts on a rollout section to some keepers."""
         for known, verdict in self._book.entries(rollout):
             if known == section:
                 notice = VerdictNotice(
@@ -58,7 +91,7 @@
                     domain=verdict.domain,
                     wall_ms=verdict.wall_ms,
                 )
-                self._send(notice, [*self._peers.near(), *self._peers.far()])
+                self._send(notice, nodes)
 
     def _send(self, message: Any, nodes: list[str]) -> None:
         """Queue a message for some keepers."""
--- a/fuchsiafork/rollouts/system.py
+++ b/fuchsiafork/rollouts/system.py
@@ -1,5 +1,6 @@
 """Decides which version of a route gets the next request."""
 
+import collections
 import functools
 from typing import Any
 
@@ -20,8 +21,6 @@
 TAKE_BACK = 'take_back'
 # Time in which a verdict reaches every place that can be reached.
 VERDICT_SPREAD_S = 2.0
-# Short enough that a healed domain knows a verdict in time.
-_NOTICE_INTERVAL_S = 1.0
 _NO_OLD_TARGETS = 'rollback_impossible'
 
 
@@ -39,8 +38,8 @@
         self._recorder = VerdictRecorder(context, self.book)
         self._route_versions: dict[str, str] = {}
         self._available: dict[str, int] = {}
+        self._by_route: dict[str, list[RolloutRow]] = {}
         self._bad_since: dict[str, float] = {}
-        self._next_notice = 0.0
 
     @property
     def verdict_count(self) -> int:
@@ -63,6 +62,9 @@
             else:
                 self._admit(row)
         self.rows = rows
+        self._by_route = collections.defaultdict(list)
+        for row in sorted(rows.values(), key=lambda row: (row.start, row.name)):
+            self._by_route[row.section.route].append(row)
 
     def set_available(self, version: str, count: int) -> None:
         """Tell how many targets of a version can serve here."""
@@ -107,7 +109,8 @@
         if row is None or version not in {row.section.new, row.section.old}:
             return
         is_new = version == row.section.new
-        if row.count_end(observation, new=is_new):
+        changed = row.count_end(observation, new=is_new)
+        if changed and row.name not in self._bad_since:
             self._spreader.report(row, urgent=observation.failed)
             self._decide(row)
 
@@ -141,17 +144,16 @@
         """Send reports and notices that are due."""
         now = self._context.clock.now()
         self._recorder.tick()
+        self._spreader.greet(self.rows.values())
         for row in self.rows.values():
+            if row.name in self._bad_since:
+                continue
             if row.trials.settle(now):
                 row.merge_own()
                 self._decide(row)
             if row.dirty or row.waiting:
                 self._spreader.report(row)
             self._tell_progress(row)
-        if now >= self._next_notice:
-            self._next_notice = now + _NOTICE_INTERVAL_S
-            for name, row in self.rows.items():
-                self._spreader.send_notices(name, row.digest)
 
     def _admit(self, row: RolloutRow) -> None:
         """Start a rollout that is new here."""
@@ -170,15 +172,10 @@
     def _governing(self, route: str) -> RolloutRow | None:
         """Return the route's rollout that started last."""
         wall = self._context.clock.wall()
-        return max(
-            (
-                row
-                for row in self.rows.values()
-                if row.section.route == route and row.started(wall)
-            ),
-            key=lambda row: (row.section.start, row.name),
-            default=None,
-        )
+        for row in reversed(self._by_route.get(route, ())):
+            if row.start <= wall:
+                return row
+        return None
 
     def _serves(self, version: str) -> bool:
         """Return whether a version has targets here; unknown counts as yes."""
@@ -196,7 +193,7 @@
             return 0
         if not self._serves(row.section.old):
             return 1
-        if row.trials.suspect:
+        if row.suspect:
             return 0
         return 1 if verdict == GOOD else row.share()
 
@@ -262,7 +259,7 @@
 
     def _tell_if_stuck(self, row: RolloutRow) -> None:
         """Tell the operator that a bad version cannot be taken back here."""
-        stuck = self._verdict(row) == BAD or row.trials.suspect
+        stuck = self._verdict(row) == BAD or row.suspect
         if not stuck:
             row.told.discard(_NO_OLD_TARGETS)
         elif _NO_OLD_TARGETS not in row.told:
@@ -276,7 +273,8 @@
 
     def _tell_progress(self, row: RolloutRow) -> None:
         """Tell the operator of a version that moved without being proven."""
-        if 'overdue' in row.told or not row.overdue():
+        overdue = self._context.clock.wall() >= row.deadline
+        if 'overdue' in row.told or not overdue:
             return
         row.told.add('overdue')
         if not self._verdict(row):
