Weigh early changes more and suspect by one alternative

Cause: a fault after some 60 good requests paid 9 nats for its unknown start; the null allowed 2 points of errors, of which good versions used a quarter. Change: half of the later weight lies on changes within about 150 steps; the null allows a fifth of max_error_share; open trials count by one alternative.

--- a/fuchsiafork/rollouts/evidence.py
+++ b/fuchsiafork/rollouts/evidence.py
@@ -19,6 +19,7 @@
     Ended,
     alternatives,
     score,
+    suspect_alternative,
 )
 
 # Two failures close together; one failure alone is no reason to hold.
@@ -82,12 +83,13 @@
         return changed
 
     def _provisional(self, trial: Ended) -> list[float]:
-        """Return a trial's greatest log ratio by test, for the time being."""
-        ratios = (
-            score(test, trial, self.baseline, self._criteria)[1:]
-            for test in TESTS
-        )
-        return [max(row, default=0.0) for row in ratios]
+        """Return a trial's log ratio by test, for the time being."""
+        found = []
+        for test in TESTS:
+            ratios = score(test, trial, self.baseline, self._criteria)
+            place = suspect_alternative(test)
+            found.append(ratios[place] if ratios else 0.0)
+        return found
 
     def _suspect(self) -> None:
         """Sum up the evidence in the trials not yet compared."""
--- a/fuchsiafork/rollouts/sequential.py
+++ b/fuchsiafork/rollouts/sequential.py
@@ -20,6 +20,9 @@
 
 # Half of the weight lies on versions that are bad from their first request.
 _FIRST_WEIGHT = 0.5
+# Half of the rest lies on changes about this soon, half is spread over all
+# time, so that a version that is watched for long is still condemned.
+_MEAN_STEPS = 150
 
 
 def log_ratio(*, hit: bool, null: float, bad: float) -> float:
@@ -46,7 +49,9 @@
 
 def _tail(count: int) -> float:
     """Return the weight of the changes after ``count`` steps."""
-    return (1 - _FIRST_WEIGHT) / math.log2(count + 1)
+    soon = (1 - 1 / _MEAN_STEPS) ** (count - 1)
+    ever = 1 / math.log2(count + 1)
+    return (1 - _FIRST_WEIGHT) * (soon + ever) / 2
 
 
 class ChangeTest:
--- a/fuchsiafork/rollouts/trials.py
+++ b/fuchsiafork/rollouts/trials.py
@@ -27,12 +27,14 @@
 _SLOW_QUANTILE = 0.8
 _SLOW_NULL = 0.2
 # Part of the permitted excess that a good version may use up.
-_ERROR_ALLOWANCE = 0.4
+_ERROR_ALLOWANCE = 0.2
 _SLOWDOWN_ALLOWANCE = 0.25
 _GREATEST_NULL = 0.9
 # Excess failure share of the alternatives beside the permitted one.
 _ERROR_EXCESSES = (0.2, 0.5, 0.85)
 _SLOW_EXCESSES = (0.35, 0.8)
+# Place of the alternative that fails half of its requests.
+_ERRORS_HALF = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +94,11 @@
     return _SLOW_EXCESSES
 
 
+def suspect_alternative(test: str) -> int:
+    """Return the alternative by which open trials are judged."""
+    return _ERRORS_HALF if test in {ERRORS, TRUNCATED} else -1
+
+
 def score(
     test: str,
     trial: Ended,
