--- a/fuchsiafork/rollouts/evidence.py
+++ b/fuchsiafork/rollouts/evidence.py
@@ -13,6 +13,7 @@
 )
 from fuchsiafork.rollouts.trials import (
     AFTER,
+    FAILURE_TESTS,
     TESTS,
     Baseline,
     Criteria,
@@ -23,7 +24,10 @@
 )
 
 # Two failures close together; one failure alone is no reason to hold.
-LOG_SUSPICION = 4.5
+LOG_SUSPECT_FAILURES = 4.5
+# Five slow requests more than quick ones. A fifth of a good version's
+# requests is slow, so less would hold good versions again and again.
+LOG_SUSPECT_SLOW = 7.0
 # Trials that found no request of the old version beside them are dropped.
 _PENDING_S = 120.0
 _PENDING_BOUND = 64
@@ -195,9 +199,9 @@
             if now - source.received < _FRESH_S
         )
 
-    def suspicion(self, now: float) -> float:
+    def suspect(self, now: float) -> bool:
         """
-        Return the greatest evidence in trials that lack a comparison.
+        Return whether trials that lack a comparison speak against it.
 
         Summed up over the keepers: on a sparse route each has few.
         """
@@ -206,8 +210,9 @@
             for source in self.sources.values()
             if now - source.received < _FRESH_S
         ]
-        return max(
+        return any(
             sum(ratios.get(_pending(test), 0.0) for ratios in fresh)
+            >= _suspect_limit(test)
             for test in TESTS
         )
 
@@ -252,6 +257,13 @@
         )
 
 
+def _suspect_limit(test: str) -> float:
+    """Return the evidence in open trials at which a version is held."""
+    if test in FAILURE_TESTS:
+        return LOG_SUSPECT_FAILURES
+    return LOG_SUSPECT_SLOW
+
+
 def _pending(test: str) -> str:
     """Return the name under which a test's open trials are reported."""
     return f'{test}:pending'
--- a/fuchsiafork/rollouts/row.py
+++ b/fuchsiafork/rollouts/row.py
@@ -7,7 +7,6 @@
 from fuchsiafork.kernel import Context
 from fuchsiafork.messages import EvidenceReport, Observation
 from fuchsiafork.rollouts.evidence import (
-    LOG_SUSPICION,
     Evidence,
     LocalTrials,
     Source,
@@ -149,7 +148,7 @@
     def suspect(self) -> bool:
         """Whether the old version's requests are needed for comparison."""
         now = self._context.clock.now()
-        return self.evidence.suspicion(now) >= LOG_SUSPICION
+        return self.evidence.suspect(now)
 
     @property
     def waiting(self) -> bool:
--- a/fuchsiafork/rollouts/trials.py
+++ b/fuchsiafork/rollouts/trials.py
@@ -12,6 +12,7 @@
 TRUNCATED = 'truncated'
 FIRST_TOKEN = 'first_token'  # ruff: ignore[hardcoded-password-string]
 TOKEN_GAP = 'token_gap'  # ruff: ignore[hardcoded-password-string]
+FAILURE_TESTS = frozenset((ERRORS, TRUNCATED))
 TESTS = (ERRORS, TRUNCATED, FIRST_TOKEN, TOKEN_GAP)
 
 # Requests of the old version that a trial is compared with.
@@ -89,14 +90,14 @@
 
 def alternatives(test: str, criteria: Criteria) -> tuple[float, ...]:
     """Return the excess hit shares of the alternatives, the least first."""
-    if test in {ERRORS, TRUNCATED}:
+    if test in FAILURE_TESTS:
         return (criteria.max_error_share, *_ERROR_EXCESSES)
     return _SLOW_EXCESSES
 
 
 def suspect_alternative(test: str) -> int:
     """Return the alternative by which open trials are judged."""
-    return _ERRORS_HALF if test in {ERRORS, TRUNCATED} else -1
+    return _ERRORS_HALF if test in FAILURE_TESTS else -1
 
 
 def score(
@@ -112,7 +113,7 @@
     """
     before = baseline.before(trial.time)
     after = baseline.after(trial.time)
-    if test in {ERRORS, TRUNCATED}:
+    if test in FAILURE_TESTS:
         hit = _is_hit(trial, test)
         windows = (before, before[-_NEAR:], after)
         null = max(_hit_share(rows, test) for rows in windows)
