Hold one failure domain without holding the others

Cause: a load peak or a failing domain at the deadline sent the traffic of all domains back to the old version for its comparison. Change: a domain's open trials count for 0.8 of the limit elsewhere.

--- a/fuchsiafork/rollouts/evidence.py
+++ b/fuchsiafork/rollouts/evidence.py
@@ -28,6 +28,8 @@
 # Five slow requests more than quick ones. A fifth of a good version's
 # requests is slow, so less would hold good versions again and again.
 LOG_SUSPECT_SLOW = 7.0
+# Part of a limit that one domain's open trials count for in the others.
+_ONE_DOMAIN = 0.8
 # Trials that found no request of the old version beside them are dropped.
 _PENDING_S = 120.0
 _PENDING_BOUND = 64
@@ -199,22 +201,20 @@
             if now - source.received < _FRESH_S
         )
 
-    def suspect(self, now: float) -> bool:
+    def suspect(self, domain: str, now: float) -> bool:
         """
-        Return whether trials that lack a comparison speak against it.
+        Return whether a domain should wait for comparisons.
 
-        Summed up over the keepers: on a sparse route each has few.
+        Open trials of several domains add up, since on a sparse route each
+        has few. A single domain counts for less than the limit elsewhere,
+        because it may be the domain that fails, not the version.
         """
         fresh = [
-            source.log_ratios
+            source
             for source in self.sources.values()
             if now - source.received < _FRESH_S
         ]
-        return any(
-            sum(ratios.get(_pending(test), 0.0) for ratios in fresh)
-            >= _suspect_limit(test)
-            for test in TESTS
-        )
+        return any(_is_suspect(fresh, domain, test) for test in TESTS)
 
     @property
     def condemned(self) -> bool:
@@ -257,11 +257,18 @@
         )
 
 
-def _suspect_limit(test: str) -> float:
-    """Return the evidence in open trials at which a version is held."""
+def _is_suspect(sources: list[Source], domain: str, test: str) -> bool:
+    """Return whether open trials of a test speak against the version."""
+    sums: dict[str, float] = collections.defaultdict(float)
+    for source in sources:
+        found = source.log_ratios.get(_pending(test), 0.0)
+        sums[source.domain] += found
+    limit = LOG_SUSPECT_SLOW
     if test in FAILURE_TESTS:
-        return LOG_SUSPECT_FAILURES
-    return LOG_SUSPECT_SLOW
+        limit = LOG_SUSPECT_FAILURES
+    most = _ONE_DOMAIN * limit
+    total = sum(min(found, most) for found in sums.values())
+    return sums[domain] >= limit or total >= limit
 
 
 def _pending(test: str) -> str:
--- a/fuchsiafork/rollouts/row.py
+++ b/fuchsiafork/rollouts/row.py
@@ -148,7 +148,7 @@
     def suspect(self) -> bool:
         """Whether the old version's requests are needed for comparison."""
         now = self._context.clock.now()
-        return self.evidence.suspect(now)
+        return self.evidence.suspect(self._context.identity.domain, now)
 
     @property
     def waiting(self) -> bool:
