--- a/fuchsiafork/rollouts/__init__.py
+++ b/fuchsiafork/rollouts/__init__.py
@@ -1,6 +1,7 @@
 """Rollouts: evidence, shares, verdicts and the loading of versions."""
 
+from fuchsiafork.rollouts.loading import LoadingSystem
 from fuchsiafork.rollouts.peers import MembershipPeers, Peers
 from fuchsiafork.rollouts.system import RolloutSystem
 
-__all__ = ('MembershipPeers', 'Peers', 'RolloutSystem')
+__all__ = ('LoadingSystem', 'MembershipPeers', 'Peers', 'RolloutSystem')
--- a/fuchsiafork/rollouts/evidence.py
+++ b/fuchsiafork/rollouts/evidence.py
@@ -205,9 +205,10 @@
         """
         Return whether a domain should wait for comparisons.
 
-        Open trials of several domains add up, since on a sparse route each
-        has few. A single domain counts for less than the limit elsewhere,
-        because it may be the domain that fails, not the version.
+        Failures of several domains add up, since on a sparse route each
+        has few; slow requests do not, as a good version always has some. A
+        single domain counts for less than the limit elsewhere, because it
+        may be the domain that fails, not the version.
         """
         fresh = [
             source
@@ -263,12 +264,11 @@
     for source in sources:
         found = source.log_ratios.get(_pending(test), 0.0)
         sums[source.domain] += found
-    limit = LOG_SUSPECT_SLOW
-    if test in FAILURE_TESTS:
-        limit = LOG_SUSPECT_FAILURES
-    most = _ONE_DOMAIN * limit
+    if test not in FAILURE_TESTS:
+        return sums[domain] >= LOG_SUSPECT_SLOW
+    most = _ONE_DOMAIN * LOG_SUSPECT_FAILURES
     total = sum(min(found, most) for found in sums.values())
-    return sums[domain] >= limit or total >= limit
+    return max(total, sums[domain]) >= LOG_SUSPECT_FAILURES
 
 
 def _pending(test: str) -> str:
--- a/fuchsiafork/rollouts/row.py
+++ b/fuchsiafork/rollouts/row.py
@@ -64,6 +64,8 @@
 
     def allows(self, share: float) -> bool:
         """Return whether the next request may go to the new version."""
+        if share <= 0:
+            return False
         proven = self.evidence.proofs() >= 1
         if not proven and self._crowded():
             return False
--- a/fuchsiafork/rollouts/verdicts.py
+++ b/fuchsiafork/rollouts/verdicts.py
@@ -44,6 +44,8 @@
     wall_ms: int
 
 
+_FIELDS = tuple(field.name for field in dataclasses.fields(Verdict))
+
 Sections = dict[str, dict[str, Verdict]]
 
 
@@ -108,7 +110,10 @@
     """Return the verdicts of a record; an unreadable one holds none."""
     try:
         rows = json.loads(value or b'[]')
-        return [(row.pop('section'), Verdict(**row)) for row in rows]
+        return [
+            (str(row['section']), Verdict(*(row[name] for name in _FIELDS)))
+            for row in rows
+        ]
     except (ValueError, TypeError, LookupError):
         return []
 
