--- a/fuchsiafork/budgets/routers.py
+++ b/fuchsiafork/budgets/routers.py
@@ -1,7 +1,6 @@
 """What a keeper knows of the routers of its failure domain."""
 
 import dataclasses
-import math
 
 from fuchsiafork import messages
 from fuchsiafork.kernel import Context
--- a/fuchsiafork/budgets/writes.py
+++ b/fuchsiafork/budgets/writes.py
@@ -234,8 +234,8 @@
         record.transfers.pop(name)
 
 
-def _prune_grants(record: ledger.Record) -> None:
-    """Drop empty grants, and forecasts of closed holders."""
+def _prune(record: ledger.Record, wall: int) -> None:
+    """Drop what no later write can ask for."""
     for row in record.budgets.values():
         row.rates = {
             holder: rate
--- a/fuchsiafork/keeper/program.py
+++ b/fuchsiafork/keeper/program.py
@@ -105,8 +105,6 @@
         self._admin = AdminServer(
             *_split(section.admin),
             Probe(
-                node=self.identity.node,
-                incarnation=self.identity.incarnation,
                 ready=self._is_ready,
                 status=self._status,
                 events=self.events,
--- a/fuchsiafork/observability/admin.py
+++ b/fuchsiafork/observability/admin.py
@@ -11,7 +11,6 @@
 from cheroot import wsgi
 
 from fuchsiafork.kernel import EventRing
-from fuchsiafork.timeline.replies import EventsReply
 
 THREADS = 2
 EVENTS_PER_ANSWER = 1000
@@ -32,8 +31,6 @@
     :ivar status: facts for operators, as a JSON object.
     """
 
-    node: str
-    incarnation: str
     ready: Callable[[], bool]
     status: Callable[[], dict[str, Any]]
     events: EventRing
@@ -114,12 +111,7 @@
         given = query.get('since', '0')
         since = int(given) if given.isdecimal() else 0
         events = self._probe.events.since(since)[:EVENTS_PER_ANSWER]
-        reply = EventsReply(
-            self._probe.node,
-            self._probe.incarnation,
-            tuple(events),
-        )
-        return Page(200, _JSON, reply.encode())
+        return _to_json([dataclasses.asdict(event) for event in events])
 
     def _status(self, query: dict[str, str]) -> Page:
         """Return facts for operators."""
--- a/fuchsiafork/router/application.py
+++ b/fuchsiafork/router/application.py
@@ -15,6 +15,7 @@
 from fuchsiafork.router.caller import Caller, StartResponse
 from fuchsiafork.router.directory import Directory
 from fuchsiafork.router.driver import Driver
+from fuchsiafork.router.machine_ids import RequestIds
 from fuchsiafork.router.machine_types import Answer, Request, Services
 from fuchsiafork.router.metrics import RouterMetrics
 from fuchsiafork.router.parsing import Incoming, parse_request
@@ -32,6 +33,7 @@
 
     def __init__(
         self,
+        ids: RequestIds,
         services: Services,
         make_driver: Callable[[Caller], Driver],
         metrics: RouterMetrics,
@@ -41,6 +43,7 @@
         """Serve requests with a driver for each caller."""
         self.directory: Directory | None = None
         self.stopping = False
+        self._ids = ids
         self._services = services
         self._make_driver = make_driver
         self._metrics = metrics
@@ -65,7 +68,7 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Serve one request, as WSGI wants it."""
-        request_id = f'{self._services.random.getrandbits(96):024x}'
+        request_id = self._ids.take()
         caller = Caller(
             start_response,
             environ.get(SOCKET_KEY),
--- a/fuchsiafork/router/driver.py
+++ b/fuchsiafork/router/driver.py
@@ -1,7 +1,10 @@
 """Runs the generator of one request in a worker thread."""
 
+import contextlib
 import functools
+import threading
 import time
+from collections.abc import Generator
 from typing import Any, Protocol
 
 from fuchsiafork.adapters.engine import EngineClient
@@ -82,6 +85,15 @@
     def _(self, command: commands.Tell) -> None:
         self._correspondent.tell(command.message, command.destination)
 
+    @_execute.register
+    def _(self, command: commands.Spawn) -> None:
+        threading.Thread(
+            target=self._run_background,
+            args=(command.steps,),
+            name=command.request_id,
+            daemon=True,
+        ).start()
+
     @_execute.register
     def _(self, command: commands.Sleep) -> None:
         time.sleep(command.seconds)
@@ -138,6 +150,17 @@
         self._close_call()
         return relayed
 
+    def _run_background(self, steps: Generator[Any, Any, None]) -> None:
+        """
+        Run steps that go on after their request has ended.
+
+        They read a target's record, wait and tell; none needs the caller.
+        """
+        reply = None
+        with contextlib.suppress(StopIteration):
+            while True:
+                reply = self._execute(steps.send(reply))
+
     def _remaining(self, deadline: float) -> float:
         """Return the seconds left to a deadline."""
         return max(0.0, deadline - self._clock.now())
--- a/fuchsiafork/router/program.py
+++ b/fuchsiafork/router/program.py
@@ -27,6 +27,7 @@
 from fuchsiafork.router.caller import Caller
 from fuchsiafork.router.directory import Directory
 from fuchsiafork.router.driver import Driver
+from fuchsiafork.router.machine_ids import RequestIds
 from fuchsiafork.router.machine_types import Services
 from fuchsiafork.router.metrics import RouterMetrics
 from fuchsiafork.router.node import RouterNode
@@ -67,6 +68,7 @@
         )
         self._settings = settings.router
         self.application = Application(
+            RequestIds(identity),
             Services(
                 vm=vm.name,
                 clock=clock,
@@ -106,8 +108,6 @@
         self._admin = AdminServer(
             *_split(settings.router.admin),
             Probe(
-                node=identity.node,
-                incarnation=identity.incarnation,
                 ready=self._is_ready,
                 status=self._status,
                 events=self.events,
--- a/measurements/rollouts_fleet.py
+++ b/measurements/rollouts_fleet.py
@@ -15,7 +15,6 @@
     Version,
 )
 from fuchsiafork.configuration import Route as RouteSection
-from fuchsiafork.configuration.document import Kind
 from fuchsiafork.kernel import (
     Context,
     EventRing,
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -130,7 +130,7 @@
     seen: set[bytes] = set()
     for body in bodies:
         named = {
-            line.partition(b'"content": "')[2].partition(b'.')[0]
+            line.partition(b'"content": "')[2].rpartition(b'.')[0]
             for line in body.splitlines()
             if b'"content"' in line
         }
--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -81,6 +81,7 @@
     def _begin(self) -> None:
         """Start a new identity with nothing cached."""
         self._starts += 1
+        self.started_at = self._now()
         self._batch: list[Record] = []
         self._down_until = self._now()
         self.loaded_at = self._now()
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -96,6 +96,11 @@
         self._end(record, State.CANCELLED)
         return True
 
+    @property
+    def last_order(self) -> Order:
+        """The last order that was carried out."""
+        return self._order
+
     def order(self, order: Order) -> None:
         """
         Load a version or change role; a repeated order id is not run again.
