Split the three longest test modules

The time line, the races of operators and the revisions that are sent by parts or refused have modules of their own; no check changed.

--- /dev/null
+++ b/tests/test_configuration_refusals.py
@@ -0,0 +1,155 @@
+"""Tests of revisions that are sent by parts or must not be in force."""
+
+import unittest
+from unittest import mock
+
+from fuchsiafork import messages
+from fuchsiafork.configuration import (
+    ConfigurationCopy,
+    head,
+    incremental,
+    parse_document,
+)
+from fuchsiafork.configuration.answers import answers
+from fuchsiafork.configuration.parsing import digest_of
+from fuchsiafork.kernel import InvariantViolationError
+from tests.test_configuration_spread import BOUND_S, Fleet
+from tests.test_configuration_store import (
+    apply_sample,
+    budget,
+    change,
+)
+
+
+class RevertingCopy(ConfigurationCopy):
+    """A copy without the check on the revision, for the negative control."""
+
+    def wants(self, revision: int, digest: str) -> bool:
+        """Return True for every revision."""
+        return True
+
+
+class TestParts(unittest.TestCase):
+    """What a small change to a large document costs."""
+
+    def test_change_sends_and_validates_few_parts(self) -> None:
+        """Guards against a whole document sent for each change."""
+        fleet = Fleet(domains='a', size=2)
+        many = {
+            f'budget:b{number}': f'[budget:b{number}]\nowner = {"x" * 64}\n'
+            for number in range(9000)
+        }
+        fleet.operator.apply(change('c1'), lambda _: many)
+        fleet.run(BOUND_S)
+        copy = fleet.systems['a-0/keeper'].copy
+        whole = list(
+            answers(copy, messages.FetchConfiguration(0, by_parts=True))
+        )
+        self.assertGreater(len(whole), 1)
+        self.assertTrue(all(len(row.texts) for row in whole))
+        before = set(copy.parts)
+        fleet.operator.apply(change('c2'), budget('b77'))
+        with mock.patch.object(
+            incremental, 'parse_sections', wraps=incremental.parse_sections
+        ) as parse:
+            fleet.run(BOUND_S)
+        self.assertEqual(fleet.revisions(), {2})
+        self.assertEqual(len(set(copy.parts) - before), 1)
+        self.assertEqual(parse.call_count, 2)
+        (sent,) = answers(copy, messages.FetchConfiguration(1, by_parts=True))
+        self.assertEqual(len(sent.texts), 1)
+        self.assertEqual(
+            copy.document, parse_document(fleet.operator.read().text)
+        )
+
+    def test_pieces_of_two_revisions_do_not_mix(self) -> None:
+        """Guards against a document put together from two."""
+        copy, texts = ConfigurationCopy(), ('[budget:a]\nowner=x\n', '\n#y\n')
+        parts = tuple(digest_of(text) for text in texts)
+        digest = digest_of(*texts)
+        steps = (
+            (1, texts[:1], False),
+            (2, texts[1:], False),
+            (1, texts[1:], False),
+            (1, texts, True),
+        )
+        for revision, given, adopted in steps:
+            piece = messages.ConfigurationDocument(
+                revision, digest, '', parts, given
+            )
+            self.assertEqual(copy.take(piece), adopted)
+        self.assertEqual(copy.text, ''.join(texts))
+
+
+class TestRefusals(unittest.TestCase):
+    """What must not come into force."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(domains='a', size=1)
+        apply_sample(self.fleet.operator)
+        self.fleet.run(2)
+        self.system = self.fleet.systems['a-0/keeper']
+
+    def store_head(self, stored: head.Head, part: bytes | None) -> None:
+        """Write a head behind the operators' program."""
+        if part is not None:
+            name = head.part_digest(part)
+            self.fleet.model.swap(f'{head.PART_PREFIX}{name}', 0, part)
+        revision = self.fleet.model.rows[head.HEAD_KEY].revision
+        self.fleet.model.swap(head.HEAD_KEY, revision, stored.encode())
+
+    def kinds(self) -> list[str]:
+        """Return the kinds of events so far."""
+        return [
+            event.kind
+            for event in self.system._context.events.since(0)
+            if event.kind.startswith('configuration')
+        ]
+
+    def test_invalid_document_is_reported_once_and_left_out(self) -> None:
+        """Guards against a keeper that adopts or chokes on it."""
+        part = b'[pool:x]\nowner = x\n'
+        name = head.part_digest(part)
+        self.store_head(head.Head(2, name, (name,), ()), part)
+        self.fleet.run(BOUND_S)
+        self.assertEqual(self.system.copy.revision, 1)
+        self.assertEqual(self.kinds().count('configuration_invalid'), 1)
+        self.assertIn('delta', self.system.copy.document.accounts)
+
+    def test_torn_head_waits_for_its_parts(self) -> None:
+        """Guards against a document with a part left out."""
+        part = b'[budget:x]\nowner = x\n'
+        name = head.part_digest(part)
+        self.store_head(head.Head(2, name, (name,), ()), None)
+        self.fleet.run(BOUND_S)
+        self.assertEqual(self.system.copy.revision, 1)
+        self.fleet.model.swap(f'{head.PART_PREFIX}{name}', 0, part)
+        self.fleet.run(BOUND_S)
+        self.assertEqual(self.system.copy.revision, 2)
+
+    def test_older_head_does_not_revert(self) -> None:
+        """Guards against a service that was set back."""
+        copy = self.system.copy
+        old = (copy.revision, copy.digest, copy.text)
+        self.fleet.operator.apply(change('c2'), budget('b2'))
+        self.fleet.run(2)
+        self.system.handle(messages.ConfigurationDocument(*old), 'a-9/keeper')
+        self.assertEqual(copy.revision, 2)
+        wrong = messages.ConfigurationDocument(3, old[1], 'x')
+        self.system.handle(wrong, 'a-9/keeper')
+        self.assertEqual(copy.revision, 2)
+
+    def test_two_documents_under_one_revision_are_noticed(self) -> None:
+        """Guards against a fleet that is split over one revision."""
+        offer = messages.ConfigurationOffer(1, 'f' * 64)
+        with self.assertRaises(InvariantViolationError):
+            self.system.handle(offer, 'a-9/keeper')
+
+    def test_check_on_reverts_can_fail(self) -> None:
+        """Negative control: without the rule, the check fires."""
+        fleet = Fleet(domains='a', size=1, copy=RevertingCopy)
+        apply_sample(fleet.operator)
+        fleet.run(2)
+        copy = fleet.systems['a-0/keeper'].copy
+        copy.adopt(copy.revision, copy.digest, copy.text)
+        self.assertEqual(fleet.reverts(), ['a-0/keeper'])
