Keep money for 10 s of forecast demand before the equal split

Cause: demand that moves into a cut-off domain needs money that forecasts do not see. Change: HORIZON_S 30 to 10.

--- a/fuchsiafork/budgets/writes.py
+++ b/fuchsiafork/budgets/writes.py
@@ -9,7 +9,7 @@
 # amounts to and fro costs writes.
 RETURN_FACTOR = 1.25
 # Demand that a holder keeps money for when nothing is known of the rest.
-HORIZON_S = 30
+HORIZON_S = 10
 # A forecast takes at most this part of what is free in one write, so that
 # the first holder to write does not take all.
 FORECAST_PART = 2
