Let a forecast take all free money; split the holder's module

Cause: in an outage the refusals that remained were for money left free in the ledger, because a forecast took at most half of it per write. Change: the bound is dropped, since each domain's part keeps the first writer from taking all; the queue of requests and the recovery of lost reservations are modules of their own.

--- a/fuchsiafork/budgets/holder.py
+++ b/fuchsiafork/budgets/holder.py
@@ -1,37 +1,26 @@
 """The keeper's part that holds money and promises it to requests."""
 
 import functools
-from collections.abc import Callable
 from typing import Any
 
 from fuchsiafork import messages
 from fuchsiafork.budgets import ledger
 from fuchsiafork.budgets.closing import CloseOut
+from fuchsiafork.budgets.queue import ReserveQueue
+from fuchsiafork.budgets.recovery import AskTarget, Recovery
 from fuchsiafork.budgets.routers import RouterWatch
 from fuchsiafork.budgets.sync import LedgerSync
-from fuchsiafork.budgets.tables import HolderTables, Reservation, Waiting
+from fuchsiafork.budgets.tables import HolderTables
 from fuchsiafork.budgets.transfers import TransferDesk
 from fuchsiafork.budgets.writes import Settlement
 from fuchsiafork.configuration import Document
 from fuchsiafork.kernel import Context, System
 from fuchsiafork.kernel import outbox as effects
-from fuchsiafork.kernel.errors import (
-    BudgetExhaustedError,
-    BudgetUnreachableError,
-)
 from fuchsiafork.membership import MembershipSystem
 
 PAUSE_LIMIT_S = 2.0
-VALID_S = 5.0
-WAIT_S = 1.0
-QUEUE_BOUND = 256
-# A router that still lacks a reservation after this never uses it.
-UNKNOWN_AFTER_S = 15.0
-_ASK_TARGET_S = 2.0
 _ASK_CLOSED_S = 0.5
 
-AskTarget = Callable[[str, str, str], None]
-
 
 class HolderSystem(System):
     """
@@ -65,7 +54,6 @@
     ) -> None:
         """Start without money."""
         super().__init__(context)
-        self.ask_target: AskTarget = lambda request_id, budget, target: None
         self.tables = HolderTables(context.identity.holder, shards)
         self.sync = LedgerSync(context, self.tables)
         self._desk = TransferDesk(context, self.tables)
@@ -77,8 +65,10 @@
             self._routers,
             self._desk.is_clear_of,
         )
+        self._queue = ReserveQueue(context, self.tables, membership)
+        self._recovery = Recovery(context, self.tables, self._routers)
         self.sync.plan_close = self._closing.plan
-        self.sync.is_lone = self._is_lone
+        self.sync.is_lone = self._queue.is_lone
         self.sync.is_base = self._is_base
         self._membership = membership
         self._last_tick = context.clock.now()
@@ -92,6 +82,16 @@
         """Whether spending has stopped after a pause."""
         return self.sync.suspended
 
+    @property
+    def ask_target(self) -> AskTarget:
+        """What is called to ask for a target's record of a request."""
+        return self._recovery.ask_target
+
+    @ask_target.setter
+    def ask_target(self, ask: AskTarget) -> None:
+        """Set what asks for a target's record of a request."""
+        self._recovery.ask_target = ask
+
     def configure(self, document: Document) -> None:
         """Open the budgets of a configuration."""
         now = self._context.clock.now()
@@ -111,26 +111,20 @@
         self._notice_pause()
         tables = self.tables
         name = message.request_id
-        now = self._context.clock.now()
         if name in tables.reservations:
-            self._confirm(tables.reservations[name])
+            self._queue.confirm(tables.reservations[name])
             return
         settled = (name, tables.holder) in tables.done
         known = settled or name in tables.pending
         if known or name in tables.waiting:
             return
         self._routers.notice(sender)
-        if len(tables.waiting) >= QUEUE_BOUND:
-            self._refuse(message, sender)
-            return
-        state = tables.budget(message.budget, now)
-        state.forecast.add(now, message.tokens)
-        until = now + min(WAIT_S, message.deadline_s)
-        tables.waiting[name] = Waiting(message, sender, until)
+        self._queue.add(message, sender)
         self._serve_waiting()
         if name in tables.waiting:
-            state.shard.urgent = True
-            self.sync.step(state.shard)
+            shard = tables.shard_of(message.budget)
+            shard.urgent = True
+            self.sync.step(shard)
 
     @handle.register
     def _(self, message: messages.StartUse, sender: str) -> None:
@@ -191,7 +185,7 @@
         self._routers.note(message)
         self._closing.take_report(message)
         if message.holder == self.tables.holder:
-            self._reconcile(message)
+            self._recovery.reconcile(message)
 
     @handle.register
     def _(self, message: messages.AskClosedOut, sender: str) -> None:
@@ -255,10 +249,10 @@
         if self.suspended:
             self._try_resume(now)
         self._serve_waiting()
-        self._refuse_late(now)
+        self._queue.refuse_late(suspended=self.suspended)
         self._routers.tick(self.tables.holder, self._closing.awake_since)
         self._closing.tick()
-        self._ask_targets(now)
+        self._recovery.ask_targets()
         self.sync.tick()
         if not self.suspended:
             reachable = set(self._membership.domains())
@@ -316,139 +310,16 @@
         self.sync.reset(self.tables)
         self._desk.reset(self.tables)
         self._closing.reset(self.tables)
-
-    def _is_lone(self) -> bool:
-        """Return whether routers of this VM depend on this holder."""
-        routers = [row.router for row in self.tables.reservations.values()]
-        routers.extend(row.router for row in self.tables.waiting.values())
-        routers.extend(row.router for row in self.tables.pending.values())
-        return len(self._membership.live()) < 2 or any(
-            self._is_own(router) for router in routers
-        )
+        self._queue.reset(self.tables)
+        self._recovery.reset(self.tables)
 
     def _is_base(self, budget: str) -> bool:
         """Return whether this keeper is the domain's first for a budget."""
         node = self._context.identity.node
         return self._membership.homes(f'budget:{budget}')[0] == node
 
-    def _is_own(self, router: str) -> bool:
-        """Return whether a router runs on this VM."""
-        return router.partition('/')[0] == self._context.identity.vm
-
-    def _may_serve(self, row: Waiting) -> bool:
-        """
-        Return whether the record of a reservation would be safe.
-
-        A router of this VM dies with this keeper, so the ledger must say
-        beforehand that nobody else may know of its reservations.
-        """
-        if not self._is_own(row.router):
-            return True
-        shard = self.tables.shard_of(row.message.budget)
-        known = shard.record.holders.get(self.tables.holder)
-        marks = [attempt.write.lone for attempt in shard.attempts.values()]
-        return known is not None and known.lone and all(marks)
-
     def _serve_waiting(self) -> None:
         """Reserve for the waiting requests that fit, then serve others."""
-        if self.suspended:
-            return
-        self._serve_own()
-        self._desk.give_standing()
-
-    def _serve_own(self) -> None:
-        """Reserve for the waiting requests that fit, oldest first."""
-        tables = self.tables
-        now = self._context.clock.now()
-        for name, row in list(tables.waiting.items()):
-            message = row.message
-            fits = message.tokens <= tables.available(message.budget, now)
-            if not fits or not self._may_serve(row) or now >= row.until:
-                continue
-            tables.waiting.pop(name)
-            held = Reservation(
-                name,
-                message.budget,
-                message.account,
-                row.router,
-                message.tokens,
-                now,
-            )
-            tables.reservations[name] = held
-            tables.budget(message.budget, now).reserved += held.tokens
-            self._confirm(held)
-
-    def _refuse_late(self, now: float) -> None:
-        """Refuse what has waited too long; ask the ledger for the rest."""
-        for name, row in list(self.tables.waiting.items()):
-            if now >= row.until:
-                self.tables.waiting.pop(name)
-                self._refuse(row.message, row.router)
-            else:
-                self.tables.shard_of(row.message.budget).urgent = True
-
-    def _confirm(self, held: Reservation) -> None:
-        """Tell the router that its reservation stands."""
-        self._context.outbox.send(
-            held.router,
-            messages.Reserved(
-                held.request_id,
-                held.budget,
-                self.tables.holder,
-                held.tokens,
-                VALID_S,
-            ),
-        )
-
-    def _refuse(self, message: messages.Reserve, router: str) -> None:
-        """Tell a router that there is no money, or none in reach."""
-        shard = self.tables.shard_of(message.budget)
-        unsure = self.suspended or shard.failing
-        kind = BudgetUnreachableError if unsure else BudgetExhaustedError
-        self._context.outbox.send(
-            router,
-            messages.ReserveRefused(
-                message.request_id,
-                message.budget,
-                kind.code,
-                WAIT_S if unsure else 0,
-            ),
-        )
-
-    def _reconcile(self, report: messages.OpenReservations) -> None:
-        """Release old reservations that their router does not know."""
-        now = self._context.clock.now()
-        known = {row.request_id for row in report.rows}
-        for held in list(self.tables.reservations.values()):
-            old = now - held.made_at > UNKNOWN_AFTER_S
-            if held.router != report.router or held.request_id in known:
-                continue
-            if old and not self._routers.lost_owner(
-                held.router,
-                held.made_at,
-            ):
-                self.tables.settle(
-                    Settlement(
-                        held.request_id,
-                        held.budget,
-                        self.tables.holder,
-                        0,
-                        '',
-                        held.router,
-                    ),
-                    now,
-                )
-
-    def _ask_targets(self, now: float) -> None:
-        """Ask for the records of requests whose router was lost."""
-        for held in self.tables.reservations.values():
-            due = now - held.asked_target_at > _ASK_TARGET_S
-            # A target without a record of a younger one may still get it.
-            old = now - held.made_at > UNKNOWN_AFTER_S
-            if (
-                due
-                and old
-                and self._routers.lost_owner(held.router, held.made_at)
-            ):
-                held.asked_target_at = now
-                self.ask_target(held.request_id, held.budget, held.target)
+        if not self.suspended:
+            self._queue.serve()
+            self._desk.give_standing()
--- a/fuchsiafork/budgets/writes.py
+++ b/fuchsiafork/budgets/writes.py
@@ -10,9 +10,6 @@
 RETURN_FACTOR = 1.25
 # Demand that a holder keeps money for when nothing is known of the rest.
 HORIZON_S = 10
-# A forecast takes at most this part of what is free in one write, so that
-# the first holder to write does not take all.
-FORECAST_PART = 2
 _DIGEST_BYTES = 8
 
 
@@ -215,9 +212,7 @@
     share = _share(record, row, holder, want)
     goal = max(want.least, want.need, share)
     if grant < goal:
-        least = max(want.least, want.need) - grant
-        part = max(least, row.free // FORECAST_PART)
-        grant += max(0, min(goal - grant, part, row.free))
+        grant += max(0, min(goal - grant, row.free))
     elif grant > max(RETURN_FACTOR * share, want.least, want.need):
         grant = goal
     row.grants[holder] = grant
--- a/measurements/budgets_demand.py
+++ b/measurements/budgets_demand.py
@@ -57,15 +57,14 @@
         }
         for _ in range(2)
     )
-    middle = sum(fault) / 2 or length
     needed = dict.fromkeys(names, 0)
     at = chance.expovariate(RATE)
     while at < length:
         name = chance.choices(names, weights)[0]
-        shares = (before if at < middle else after)[name]
-        request = _draw_request(chance, plan, at, name, shares)
-        needed[name] += request.used
-        plan.requests.append(request)
+        shifted = fault[1] and at >= sum(fault) / 2
+        shares = (after if shifted else before)[name]
+        plan.requests.append(_draw_request(chance, plan, at, name, shares))
+        needed[name] += plan.requests[-1].used
         at += chance.expovariate(RATE)
     for number, name in enumerate(names):
         # Three nearly drained, the others from scarce to ample.
