Split the ledger's writes and the measured fleet into modules

Change: WriteComposer in composing.py, processes in budgets_ends.py. Conclusion: no change of behaviour.

--- a/fuchsiafork/budgets/holder.py
+++ b/fuchsiafork/budgets/holder.py
@@ -67,9 +67,9 @@
         )
         self._queue = ReserveQueue(context, self.tables, membership)
         self._recovery = Recovery(context, self.tables, self._routers)
-        self.sync.plan_close = self._closing.plan
-        self.sync.is_lone = self._queue.is_lone
-        self.sync.is_base = self._is_base
+        self.sync.composer.plan_close = self._closing.plan
+        self.sync.composer.is_lone = self._queue.is_lone
+        self.sync.composer.is_base = self._is_base
         self._membership = membership
         self._last_tick = context.clock.now()
         self._renewals = 0
@@ -95,11 +95,11 @@
     def configure(self, document: Document) -> None:
         """Open the budgets of a configuration."""
         now = self._context.clock.now()
-        self.sync.openings = {
+        self.sync.composer.openings = {
             name: budget.opening_tokens
             for name, budget in document.budgets.items()
         }
-        for name in self.sync.openings:
+        for name in self.sync.composer.openings:
             self.tables.budget(name, now)
 
     @functools.singledispatchmethod
--- a/fuchsiafork/budgets/sync.py
+++ b/fuchsiafork/budgets/sync.py
@@ -1,16 +1,15 @@
 """Reads and writes of the ledger, with lost answers resolved by sequence."""
 
-import collections
 import functools
 import itertools
-from collections.abc import Callable
 from typing import Any
 
 from fuchsiafork import messages
 from fuchsiafork.budgets import ledger
+from fuchsiafork.budgets.composing import WriteComposer, differs
 from fuchsiafork.budgets.tables import Attempt, HolderTables, Shard
 from fuchsiafork.budgets.transfers import adopt_transfers, resolve_transfer
-from fuchsiafork.budgets.writes import HolderWrite, Want, apply_write
+from fuchsiafork.budgets.writes import HolderWrite, apply_write
 from fuchsiafork.kernel import Context, InvariantViolationError
 from fuchsiafork.kernel import outbox as effects
 
@@ -23,27 +22,23 @@
 # A record read this recently is not read again for a waiting request.
 FRESH_S = 0.05
 
-Planner = Callable[[Shard, HolderWrite], None]
-
 
 class LedgerSync:
     """Keeps the shards of one holder in step with the ledger."""
 
     def __init__(self, context: Context, tables: HolderTables) -> None:
         """Start without any record."""
-        self.openings: dict[str, int] = {}
         self.suspended = False
         self.closed_out = False
-        self.is_lone: Callable[[], bool] = bool
-        self.is_base: Callable[[str], bool] = lambda budget: True
-        self.plan_close: Planner = lambda shard, write: None
         self._context = context
+        self.composer = WriteComposer(context, tables)
         self._tables = tables
         self._tags = itertools.count(1)
 
     def reset(self, tables: HolderTables) -> None:
         """Go on under a new holder id."""
         self._tables = tables
+        self.composer.reset(tables)
         self.closed_out = False
 
     def verify(self) -> None:
@@ -164,7 +159,7 @@
 
     def _write(self, shard: Shard) -> None:
         """Try to write what has come together, or read a stale record."""
-        write = self._compose(shard)
+        write = self.composer.compose(shard)
         try:
             after = apply_write(shard.record, write)
         except InvariantViolationError as error:
@@ -177,7 +172,7 @@
             return
         now = self._context.clock.now()
         shard.urgent = False
-        if not _differs(shard.record, after, write):
+        if not differs(shard.record, after, write):
             shard.written_at = now
             if now - shard.synced_at > FRESH_S and self._tables.waiting:
                 self._read(shard)
@@ -194,73 +189,6 @@
             ),
         )
 
-    def _compose(self, shard: Shard) -> HolderWrite:
-        """Return everything that this holder has to write to a record."""
-        tables = self._tables
-        closed = shard.record.closed
-        write = HolderWrite(
-            holder=tables.holder,
-            domain=self._context.identity.domain,
-            sequence=tables.sequence + 1,
-            wall=int(self._context.clock.wall()),
-            lone=self.is_lone(),
-            settlements=[
-                row
-                for row in tables.pending.values()
-                if tables.shard_of(row.budget) is shard
-                and (row.holder == tables.holder or row.holder in closed)
-            ],
-            transfers={
-                name: held.transfer
-                for name, held in tables.transfers.items()
-                if tables.shard_of(held.transfer.budget) is shard
-            },
-            openings={
-                name: tokens
-                for name, tokens in self.openings.items()
-                if tables.shard_of(name) is shard
-            },
-        )
-        self.plan_close(shard, write)
-        write.wants = self._wants(shard, write)
-        return write
-
-    def _wants(self, shard: Shard, write: HolderWrite) -> dict[str, Want]:
-        """Return what this holder asks for each budget of a record."""
-        now = self._context.clock.now()
-        settled, moved = self._sums(write)
-        waiting: collections.Counter[str] = collections.Counter()
-        for row in self._tables.waiting.values():
-            waiting[row.message.budget] += row.message.tokens
-        wants = {}
-        for name, state in self._tables.budgets.items():
-            if state.shard is not shard:
-                continue
-            least = state.reserved + state.unwritten - settled[name]
-            least -= state.moved - moved[name]
-            rate = int(state.forecast.rate(now))
-            base = self.is_base(name)
-            need = least + waiting[name]
-            if base or rate or need or state.granted(self._tables.holder):
-                wants[name] = Want(max(0, least), need, rate, base)
-        return wants
-
-    def _sums(
-        self,
-        write: HolderWrite,
-    ) -> tuple[collections.Counter[str], collections.Counter[str]]:
-        """Return tokens settled and moved by a write, by budget."""
-        settled: collections.Counter[str] = collections.Counter()
-        moved: collections.Counter[str] = collections.Counter()
-        for row in write.settlements:
-            if row.holder == self._tables.holder:
-                settled[row.budget] += row.tokens
-        for name in write.transfers:
-            held = self._tables.transfers[name]
-            if not held.in_ledger:
-                moved[held.transfer.budget] += held.change
-        return settled, moved
-
     def _attempt(
         self,
         shard: Shard,
@@ -268,7 +196,7 @@
         after: ledger.Record,
     ) -> Attempt:
         """Return the row of a write that is about to be sent."""
-        return Attempt(shard.revision, write, after, *self._sums(write))
+        return Attempt(shard.revision, write, after, *self.composer.sums(write))
 
     def _adopt(
         self,
@@ -334,32 +262,3 @@
             )
         for name in attempt.write.transfers:
             resolve_transfer(tables, name, now)
-
-
-def _differs(
-    before: ledger.Record,
-    after: ledger.Record,
-    write: HolderWrite,
-) -> bool:
-    """Return whether a write is worth its cost."""
-    if write.settlements or write.transfers or write.closes:
-        return True
-    old = before.holders.get(write.holder)
-    if old is None or old.lone != write.lone:
-        return True
-    if before.budgets.keys() != after.budgets.keys():
-        return True
-    return any(
-        row.grants != before.budgets[name].grants
-        or row.free != before.budgets[name].free
-        or _moved(
-            before.budgets[name].rates.get(write.holder, 0),
-            row.rates.get(write.holder, 0),
-        )
-        for name, row in after.budgets.items()
-    )
-
-
-def _moved(old: int, new: int) -> bool:
-    """Return whether a forecast changed enough to tell the others."""
-    return abs(new - old) > max(old, new) / 4
--- a/measurements/budgets.py
+++ b/measurements/budgets.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 from measurements.budgets_demand import Plan, best_split, draw_plan, replay
+from measurements.budgets_ends import Request
 from measurements.budgets_faults import run_faults
-from measurements.budgets_fleet import Fleet, Request
+from measurements.budgets_fleet import Fleet
 
 WARM_UP_S = 5.0
 DRAIN_S = 12.0
--- a/measurements/budgets_demand.py
+++ b/measurements/budgets_demand.py
@@ -5,7 +5,7 @@
 import operator
 import random
 
-from measurements.budgets_fleet import Request
+from measurements.budgets_ends import Request
 
 RATE = 20.0
 BUDGETS = 10
--- a/measurements/budgets_faults.py
+++ b/measurements/budgets_faults.py
@@ -3,7 +3,8 @@
 import random
 from collections.abc import Callable
 
-from measurements.budgets_fleet import Fleet, Request
+from measurements.budgets_ends import Request
+from measurements.budgets_fleet import Fleet
 from standins.virtual import Faults
 
 LAYOUT = {'a': 3, 'b': 2, 'c': 1}
--- a/tests/test_budgets_fleet.py
+++ b/tests/test_budgets_fleet.py
@@ -8,7 +8,8 @@
 from fuchsiafork.budgets.tables import HolderTables
 from fuchsiafork.budgets.transfers import TransferDesk
 from fuchsiafork.kernel import InvariantViolationError
-from measurements.budgets_fleet import Fleet, Request
+from measurements.budgets_ends import Request
+from measurements.budgets_fleet import Fleet
 from standins.virtual import Faults
 
 LAYOUT = {'a': 3, 'b': 2}
