Let every request end inside the targets measurement

Cause: requests in flight at the end could not be told from lost ones. Change: calls end at 105 s and faults at 100 s of 135 s; the new key unanswered counts requests that got neither answer nor refusal.

--- a/measurements/targets.py
+++ b/measurements/targets.py
@@ -13,7 +13,10 @@
 from measurements.targets_load import SITES, Site, Workload
 from measurements.targets_nodes import ChoiceFactory
 
-DURATION_S = 120.0
+# Faults and calls end early enough for every request to end in the run.
+DURATION_S = 135.0
+_CALLS_END_S = 105.0
+_FAULTS_S = (8.0, 100.0)
 _SETTLED_S = 4.0
 _CALLS_PER_S = 13.0
 _SURGE = (60.0, 75.0)
@@ -54,6 +57,7 @@
         'refused': counts['refused'],
         'failed': counts['failed'],
         'lost_with_router': counts['lost'],
+        'unanswered': counts['waiting'],
         'tokens': counts['tokens'],
         'overfilled_targets': counts['fell_over'],
         'max_over_capacity': over,
@@ -85,6 +89,8 @@
         counts.update({name: engine.counts[name] for name in wanted})
     for router in (*fleet.routers.values(), *fleet.gone):
         counts.update(router.counts)
+    for router in fleet.routers.values():
+        counts['waiting'] += router.waiting
     for router in fleet.gone:
         counts['lost'] += router.waiting
     return counts
@@ -105,7 +111,7 @@
 
     def steady() -> None:
         fleet.submit(workload)
-        if fleet.clock.now() < DURATION_S:
+        if fleet.clock.now() < _CALLS_END_S:
             gap = chance.expovariate(_CALLS_PER_S)
             fleet.scheduler.call_later(gap, steady)
 
@@ -123,9 +129,11 @@
     """Schedule deaths, pauses, late reports and changes of targets."""
     later = fleet.scheduler.call_later
     for _ in range(24):
-        later(chance.uniform(8, 110), lambda: _harm_process(fleet, chance))
+        moment = chance.uniform(*_FAULTS_S)
+        later(moment, lambda: _harm_process(fleet, chance))
     for _ in range(6):
-        later(chance.uniform(8, 110), lambda: _harm_target(fleet, chance))
+        moment = chance.uniform(*_FAULTS_S)
+        later(moment, lambda: _harm_target(fleet, chance))
     for moment in (30.0, 80.0):
         later(moment, lambda: setattr(fleet, 'late_s', 1.2))
         later(moment + 10, lambda: setattr(fleet, 'late_s', 0.0))
