Introduce new keepers to each other

Change: MembershipSystem passes the first heartbeat of a new member on to the members of its domain; only the two first-ranked live keepers do so. The measurement's list of VMs is now 3 s late.

--- a/fuchsiafork/membership/system.py
+++ b/fuchsiafork/membership/system.py
@@ -67,6 +67,7 @@
                 member=message.node,
                 member_domain=message.domain,
             )
+            self._introduce(message)
         self.members[message.node] = Member(
             node=message.node,
             domain=message.domain,
@@ -151,6 +152,22 @@
                 return member.node
         return ''
 
+    def _introduce(self, beat: messages.Heartbeat) -> None:
+        """
+        Tell the members of a new one's domain of it.
+
+        Two that start together are not in each other's list of VMs yet.
+        Only the first-ranked members tell, so that a start costs few
+        messages.
+        """
+        own = self._context.identity.node
+        tellers = rank(beat.node, set(self.live()) - {beat.node})
+        if own not in tellers[:GATEWAYS_PER_DOMAIN]:
+            return
+        for member in self.members.values():
+            if member.domain == beat.domain and member.node != beat.node:
+                self._context.outbox.forward(member.node, beat, beat.node)
+
     def _stays(self, node: str) -> bool:
         """Return whether a node is not shutting down."""
         if node == self._context.identity.node:
--- a/measurements/targets_fleet.py
+++ b/measurements/targets_fleet.py
@@ -29,9 +29,9 @@
 KEEPER_TICK_S = 0.05
 ROUTER_TICK_S = 0.05
 _ATTACH_S = 0.25
-# Keepers that start find each other within this time, less than the time in
-# which a new owner settles.
-VM_LIST_LAG_S = 0.5
+# Age from which a keeper is in the list of VMs that others start with; two
+# that start together find each other by way of older ones.
+VM_LIST_LAG_S = 3.0
 _LINK_SILENCE_S = 2.0
 
 
@@ -72,6 +72,7 @@
         }
         self._choice = choice
         self._starts = 0
+        self._started: dict[str, float] = {}
         self._paused_at: dict[str, float] = {}
         self._start_all()
 
@@ -91,6 +92,8 @@
         self.keepers[node] = keeper
         self.network.add(node, identity.domain, keeper)
         self.network.every(node, KEEPER_TICK_S)
+        self._started[node] = self.clock.now()
+        self._introduce()
         self.scheduler.call_later(VM_LIST_LAG_S, self._introduce)
 
     def start_router(self, node: str) -> None:
@@ -195,10 +198,14 @@
         self._poll()
 
     def _introduce(self) -> None:
-        """Let keepers find those that are new in the list of VMs."""
+        """Let keepers find those that are in the list of VMs."""
+        listed_by = self.clock.now() - VM_LIST_LAG_S
         for first, second in itertools.permutations(self.keepers, 2):
             members = self.keepers[first].membership.members
-            if second not in members and first not in self.network.paused:
+            listed = 0 < self._started[second] <= listed_by
+            if second in members or first in self.network.paused:
+                continue
+            if listed or not self._started[second]:
                 beat = self._first_heartbeat(second)
                 self.keepers[first].receive(beat, second, first)
 
--- a/tests/test_dispatch_fleet.py
+++ b/tests/test_dispatch_fleet.py
@@ -120,6 +120,30 @@
             fallen += self.count('fell_over')
         self.assertGreater(fallen, 0)
 
+    def test_keepers_that_start_together_have_one_owner(self) -> None:
+        """Guards against two owners that do not know each other."""
+        nodes = ('a-0/keeper', 'a-1/keeper')
+        for node in nodes:
+            self.fleet.kill(node)
+        for node in nodes:
+            self.fleet.start_keeper(node)
+        for _ in range(16):
+            self.load(0.25)
+            known = [
+                keeper.membership.live('a')
+                for node, keeper in self.fleet.keepers.items()
+                if node.startswith('a') and self.serves(node)
+            ]
+            self.assertLessEqual(len(known), 1)
+            self.assertTrue(all(len(view) == 3 for view in known))
+        self.check()
+
+    def serves(self, node: str) -> bool:
+        """Return whether a keeper gives out slots of the first engine."""
+        dispatch = self.fleet.keepers[node].dispatch
+        row = dispatch.targets.get('a-engine-0')
+        return row is not None and row.serving
+
 
 class TestTargetFaults(FleetCase):
     """Targets that report late, leave or are replaced."""
