Compare trials of an unproven version while its share rises

Cause: three times slower, on a route with half a request a second, reached 21% of its route: its first trials had too few latencies beside them and those of the rise found no requests of the old version. Change: a trial waits for 8 requests of the old version; a domain with 4 open trials of an unproven version sends to the old one until they are compared.

--- a/fuchsiafork/rollouts/evidence.py
+++ b/fuchsiafork/rollouts/evidence.py
@@ -12,7 +12,6 @@
     log_mean,
 )
 from fuchsiafork.rollouts.trials import (
-    AFTER,
     FAILURE_TESTS,
     TESTS,
     Baseline,
@@ -79,6 +78,11 @@
         self._pending.append((trial, self._provisional(trial)))
         self._suspect()
 
+    @property
+    def open_trials(self) -> int:
+        """Number of trials that lack a comparison."""
+        return len(self._pending)
+
     def settle(self, now: float) -> bool:
         """Return whether trials were compared, or dropped as too old."""
         open_before = len(self._pending)
@@ -112,7 +116,7 @@
         """Count the trials that can be compared; drop those too old."""
         while self._pending:
             trial = self._pending[0][0]
-            ready = len(self.baseline.after(trial.time)) >= AFTER
+            ready = self.baseline.compares(trial.time)
             if not ready and now - trial.time < _PENDING_S:
                 break
             self._pending.popleft()
--- a/fuchsiafork/rollouts/row.py
+++ b/fuchsiafork/rollouts/row.py
@@ -13,6 +13,8 @@
 )
 from fuchsiafork.rollouts.schedule import (
     FIRST_REQUESTS,
+    OPEN_TRIALS,
+    RISE_TO,
     UNPROVEN_IN_FLIGHT,
     UNPROVEN_SHARE,
     Credit,
@@ -54,10 +56,15 @@
     def share(self) -> float:
         """Return the share that evidence and time allow."""
         elapsed = self._context.clock.wall() - self.start
+        elapsed /= self.deadline - self.start
+        proofs = self.evidence.proofs()
+        lacking = self.trials.open_trials >= OPEN_TRIALS
+        if lacking and proofs < 1 and elapsed < RISE_TO:
+            return 0
         return share_of(
             Progress(
-                elapsed=elapsed / (self.deadline - self.start),
-                proofs=self.evidence.proofs(),
+                elapsed=elapsed,
+                proofs=proofs,
                 log_evidence=self.evidence.worst()[0],
             ),
         )
--- a/fuchsiafork/rollouts/schedule.py
+++ b/fuchsiafork/rollouts/schedule.py
@@ -12,7 +12,10 @@
 LOG_DOUBT = math.log(10)
 _RISE_FROM = 2 / 3
 # The rise ends a little early, so that the deadline finds all traffic moved.
-_RISE_TO = 0.97
+RISE_TO = 0.97
+# While an unproven version rises, its trials must find requests of the old
+# version to be compared with; otherwise evidence ends as the share grows.
+OPEN_TRIALS = 4
 # Credit of a version that was not available is not spent in one burst.
 _CREDIT_BOUND = 2.0
 
@@ -43,7 +46,7 @@
     share = min(1.0, UNPROVEN_SHARE * 2**doublings)
     if progress.log_evidence >= LOG_DOUBT:
         return min(share, UNPROVEN_SHARE)
-    rise = (progress.elapsed - _RISE_FROM) / (_RISE_TO - _RISE_FROM)
+    rise = (progress.elapsed - _RISE_FROM) / (RISE_TO - _RISE_FROM)
     rise = min(1.0, max(0.0, rise))
     return max(share, UNPROVEN_SHARE + (1 - UNPROVEN_SHARE) * rise)
 
--- a/fuchsiafork/rollouts/trials.py
+++ b/fuchsiafork/rollouts/trials.py
@@ -24,7 +24,7 @@
 # failure domain that has just begun to fail is seen on both versions.
 AFTER = 3
 # Fewer latencies give a percentile that is mostly chance.
-_LEAST_LATENCIES = 8
+LEAST_OLD = 8
 _SLOW_QUANTILE = 0.8
 _SLOW_NULL = 0.2
 # Part of the permitted excess that a good version may use up.
@@ -65,6 +65,11 @@
         """Add a request; times never run backwards."""
         self._rows.append(ended)
 
+    def compares(self, moment: float) -> bool:
+        """Return whether a trial of then can be compared."""
+        full = len(self._rows) >= LEAST_OLD
+        return full and len(self.after(moment)) >= AFTER
+
     def before(self, moment: float) -> list[Ended]:
         """Return the last requests that ended in the window up to then."""
         rows = [
@@ -174,9 +179,9 @@
     """
     later = _latencies(after, test)
     pool = _latencies(before, test) + later
-    if len(pool) < _LEAST_LATENCIES:
+    if len(pool) < LEAST_OLD:
         pool = baseline.latencies(test)
-    if len(pool) < _LEAST_LATENCIES:
+    if len(pool) < LEAST_OLD:
         return -1
     limit = _quantile(pool)
     return max(limit, _quantile(later)) if later else limit
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -226,14 +226,15 @@
             for _ in range(20):
                 observed.extend(rows)
         trials = LocalTrials(CRITERIA)
+        evidence = Evidence(CRITERIA)
         for moment, (version, observation) in enumerate(observed):
             if version == 'new':
                 trials.add_new(moment, observation)
             else:
                 trials.add_old(moment, observation)
-        evidence = Evidence(CRITERIA)
-        trials.source.domain = 'a'
-        evidence.merge('a-1', trials.source)
+            ratios = dict(trials.source.log_ratios)
+            count = trials.source.observed
+            evidence.merge('a-1', Source('a', count, count, 0, ratios))
         return evidence
 
     def test_peak_that_hits_both_condemns_nobody(self) -> None:
