Stop the rise on evidence of one failure domain, describe rollouts

Cause: bad in one domain or failing a fifth, sparse routes: the mixture over fleet and domains dilutes the evidence, so the share rose in the last third. Change: the rise stops at 10 to 1 in the fleet or in any domain.

--- a/fuchsiafork/rollouts/evidence.py
+++ b/fuchsiafork/rollouts/evidence.py
@@ -147,6 +147,7 @@
         }
         self._domains: dict[str, dict[str, ChangeTest]] = {}
         self._worst = (0.0, TESTS[0])
+        self._doubt = 0.0
         self._proofs = 0.0
 
     def merge(self, holder: str, report: Source) -> None:
@@ -163,6 +164,7 @@
         if changed:
             self._add_steps(report, known)
             self._worst = max((self.log_evidence(test), test) for test in TESTS)
+            self._doubt = max(self._log_doubt(test) for test in TESTS)
             self._proofs = min(self._proof(test) for test in TESTS)
 
     def log_evidence(self, test: str) -> float:
@@ -185,6 +187,10 @@
         """Return the greatest evidence and its test."""
         return self._worst
 
+    def doubt(self) -> float:
+        """Return the greatest evidence of the fleet or of one domain."""
+        return self._doubt
+
     def proofs(self) -> float:
         """Return how many times over the version is proven good."""
         return self._proofs
@@ -239,6 +245,13 @@
                 self._fleet[test].add(step)
                 self._domain(report.domain)[test].add(step)
 
+    def _log_doubt(self, test: str) -> float:
+        """Return the greatest evidence in a test, in whichever place."""
+        domains = [
+            tests[test].log_evidence() for tests in self._domains.values()
+        ]
+        return max([self._fleet[test].log_evidence(), *domains])
+
     def _proof(self, test: str) -> float:
         """
         Return the proofs of one test.
--- a/fuchsiafork/rollouts/loading.py
+++ b/fuchsiafork/rollouts/loading.py
@@ -64,7 +64,8 @@
         # Version -> least number of its targets of a group that must stay.
         self.needed: dict[str, int] = {}
         self._leases = Leases(context.clock)
-        self._recent: collections.deque[float] = collections.deque()
+        self._recent: collections.deque[float]
+        self._recent = collections.deque(maxlen=_LOADS_PER_WINDOW)
         self._wait: dict[str, float] = {}
         self._count = 0
 
@@ -130,22 +131,18 @@
         if attempt is None or attempt.target != message.target:
             return
         serves = message.ready and message.version == target.wanted
-        if serves and message.order in {attempt.order, attempt.found}:
+        if serves and (message.order == attempt.order or not attempt.fence):
             self._finish(attempt, target)
         elif not attempt.fence:
-            attempt.found = message.order
-            if serves:
-                self._finish(attempt, target)
-            else:
-                self._read(attempt, f'{ORDERS}{attempt.target}')
-        elif self._is_silent(attempt):
+            self._read(attempt, f'{ORDERS}{attempt.target}')
+        elif message.order != attempt.order and self._is_silent(attempt):
             self._send_order(attempt)
 
     @handle.register
     def _(self, message: OrderRefused, sender: str) -> None:
-        for attempt in list(self.attempts.values()):
-            if message.order == attempt.order:
-                self._give_up(attempt, 'order_refused')
+        attempt = self._of_key(f'{ORDERS}{message.target}')
+        if attempt is not None and message.order == attempt.order:
+            self._give_up(attempt, 'order_refused')
 
     def _of_key(self, key: str) -> Attempt | None:
         """Return the attempt that a record belongs to."""
@@ -153,9 +150,8 @@
             return self.attempts.get(key.removeprefix(GROUPS))
         target = self.targets.get(key.removeprefix(ORDERS))
         attempt = self.attempts.get(target.group) if target else None
-        if attempt is None or f'{ORDERS}{attempt.target}' != key:
-            return None
-        return attempt
+        named = attempt is not None and f'{ORDERS}{attempt.target}' == key
+        return attempt if named else None
 
     def _may_begin(self, target: LoadTarget, now: float) -> bool:
         """Return whether a target may start to load now."""
@@ -176,9 +172,8 @@
 
     def _in_rate(self, now: float) -> bool:
         """Return whether the weight store's rate allows another load."""
-        while self._recent and self._recent[0] <= now - _WINDOW_S:
-            self._recent.popleft()
-        return len(self._recent) < _LOADS_PER_WINDOW
+        recent = sum(begun > now - _WINDOW_S for begun in self._recent)
+        return recent < _LOADS_PER_WINDOW
 
     def _begin(self, target: LoadTarget, now: float) -> None:
         """Start to load by reading who orders in the group."""
@@ -205,12 +200,7 @@
         revision: int,
         record: dict[str, Any],
     ) -> None:
-        """
-        Take a free group.
-
-        The target that a lapsed orderer was loading is loaded first, because
-        it may still be loading.
-        """
+        """Take a free group; what a lapsed orderer left may still load."""
         left = self.targets.get(record.get('target', ''))
         if left is not None and left.group == attempt.group:
             attempt.target = left.name
--- a/fuchsiafork/rollouts/loading_tables.py
+++ b/fuchsiafork/rollouts/loading_tables.py
@@ -43,7 +43,6 @@
 
     :ivar fence: revision of the record ``orders/<target>`` that names the
         order, 0 before it is written.
-    :ivar found: id of the order that the target showed before ours.
     :ivar due: local clock time of the next step, seconds.
     :ivar written: when the last write of the group's record was sent.
     :ivar renewed: send time of its last confirmed write.
@@ -57,7 +56,6 @@
     begun: float
     due: float = 0.0
     fence: int = 0
-    found: str = ''
     written: float = -math.inf
     renewed: float = -math.inf
     revision: int = 0
--- a/fuchsiafork/rollouts/row.py
+++ b/fuchsiafork/rollouts/row.py
@@ -65,7 +65,7 @@
             Progress(
                 elapsed=elapsed,
                 proofs=proofs,
-                log_evidence=self.evidence.worst()[0],
+                log_evidence=self.evidence.doubt(),
             ),
         )
 
--- a/fuchsiafork/rollouts/schedule.py
+++ b/fuchsiafork/rollouts/schedule.py
@@ -27,7 +27,8 @@
 
     :ivar elapsed: part of the time from start to deadline that has passed.
     :ivar proofs: how many times over the version is proven good.
-    :ivar log_evidence: greatest evidence against the version.
+    :ivar log_evidence: greatest evidence against the version, in the fleet
+        or in one failure domain.
     """
 
     elapsed: float
