--- a/fuchsiafork/budgets/composing.py
+++ b/fuchsiafork/budgets/composing.py
@@ -23,6 +23,7 @@
 
     def __init__(self, context: Context, tables: HolderTables) -> None:
         """Start without budgets."""
+        self.leaving = False
         self.openings: dict[str, int] = {}
         self.is_lone: Callable[[], bool] = bool
         self.is_base: Callable[[str], bool] = bool
@@ -80,8 +81,9 @@
                 continue
             least = state.reserved + state.unwritten - settled[name]
             least -= state.moved - moved[name]
-            rate = int(state.forecast.rate(now))
-            base = self.is_base(name)
+            # A leaving holder keeps only what it has promised.
+            rate = 0 if self.leaving else int(state.forecast.rate(now))
+            base = not self.leaving and self.is_base(name)
             need = least + waiting[name]
             if base or rate or need or state.granted(self._tables.holder):
                 wants[name] = Want(max(0, least), need, rate, base)
--- a/fuchsiafork/budgets/holder.py
+++ b/fuchsiafork/budgets/holder.py
@@ -92,6 +92,21 @@
         """Set what asks for a target's record of a request."""
         self._recovery.ask_target = ask
 
+    @property
+    def holds_money(self) -> bool:
+        """Whether the ledger, as last seen, has a grant of this holder."""
+        return any(
+            row.grants.get(self.tables.holder, 0)
+            for shard in self.tables.shards.values()
+            for row in shard.record.budgets.values()
+        )
+
+    def hand_back(self) -> None:
+        """Return all money that is not promised, at the next writes."""
+        self.sync.composer.leaving = True
+        for shard in self.tables.shards.values():
+            shard.urgent = True
+
     def configure(self, document: Document) -> None:
         """Open the budgets of a configuration."""
         now = self._context.clock.now()
--- a/fuchsiafork/budgets/queue.py
+++ b/fuchsiafork/budgets/queue.py
@@ -63,6 +63,7 @@
                 row.router,
                 message.tokens,
                 now,
+                key=message.key,
             )
             tables.reservations[name] = held
             tables.budget(message.budget, now).reserved += held.tokens
--- a/fuchsiafork/budgets/sync.py
+++ b/fuchsiafork/budgets/sync.py
@@ -29,7 +29,6 @@
     def __init__(self, context: Context, tables: HolderTables) -> None:
         """Start without any record."""
         self.suspended = False
-        self.leaving = False
         self.closed_out = False
         self._context = context
         self.composer = WriteComposer(context, tables)
--- a/fuchsiafork/membership/system.py
+++ b/fuchsiafork/membership/system.py
@@ -81,7 +81,8 @@
                 member=message.node,
                 member_domain=message.domain,
             )
-            self._introduce(message)
+            # Two keepers that start together learn of each other by it.
+            self._context.outbox.send(message.node, self._roster())
         self.members[message.node] = Member(
             node=message.node,
             domain=message.domain,
@@ -224,21 +225,14 @@
                 return member.node
         return ''
 
-    def _introduce(self, beat: messages.Heartbeat) -> None:
-        """
-        Tell the members of a new one's domain of it.
-
-        Two that start together are not in each other's list of VMs yet.
-        Only the first-ranked members tell, so that a start costs few
-        messages.
-        """
-        own = self._context.identity.node
-        tellers = rank(beat.node, set(self.live()) - {beat.node})
-        if own not in tellers[:GATEWAYS_PER_DOMAIN]:
-            return
-        for member in self.members.values():
-            if member.domain == beat.domain and member.node != beat.node:
-                self._context.outbox.forward(member.node, beat, beat.node)
+    def _forget_lost(self, now: float) -> None:
+        """Drop members that have been silent for long."""
+        horizon = now - FORGET_AFTER_S
+        for node, member in tuple(self.members.items()):
+            known_for = max(member.last_heard, member.introduced_at)
+            if known_for < horizon:
+                self.members.pop(node)
+                self._context.events.record('member_lost', member=node)
 
     def _stays(self, node: str) -> bool:
         """Return whether a node is not shutting down."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -96,7 +96,7 @@
         request_id = answer.headers['X-Request-Id']
         pool = urllib3.PoolManager()
         events = pool.request('GET', f'http://{vm.router_admin}/events').json()[
-            'events'
+
         ]
         kinds = [
             event['kind']
