--- a/fuchsiafork/budgets/transfers.py
+++ b/fuchsiafork/budgets/transfers.py
@@ -71,11 +71,7 @@
         :param live: live keepers of this one.
         """
         now = self._context.clock.now()
-        needs: dict[str, int] = {}
-        for row in self._tables.waiting.values():
-            budget = row.message.budget
-            needs[budget] = needs.get(budget, 0) + row.message.tokens
-        for budget, tokens in needs.items():
+        for budget, tokens in self._least_needs().items():
             state = self._tables.budget(budget, now)
             short = tokens - state.available(self._tables.holder)
             if short > 0 and now - state.last_ask >= ASK_INTERVAL_S:
@@ -209,11 +205,7 @@
         so that the parts come together in one place.
         """
         own = self._tables.holder
-        needed = sum(
-            row.message.tokens
-            for row in self._tables.waiting.values()
-            if row.message.budget == message.budget
-        )
+        needed = self._least_needs().get(message.budget, 0)
         state = self._tables.budget(
             message.budget,
             self._context.clock.now(),
@@ -224,6 +216,20 @@
         yields = message.tokens < short or first != own
         return 0 if yields and message.tokens <= short else needed
 
+    def _least_needs(self) -> dict[str, int]:
+        """
+        Return the smallest waiting request by budget, in tokens.
+
+        A large request that cannot be met must not keep from the small ones
+        of other holders what would serve them.
+        """
+        needs: dict[str, int] = {}
+        for row in self._tables.waiting.values():
+            name = row.message.budget
+            tokens = row.message.tokens
+            needs[name] = min(tokens, needs.get(name, tokens))
+        return needs
+
     def _givers(
         self,
         budget: str,
