Read events as a list in the process tests

Cause: the admin pages answer with a list of events; the test still expected an object, and a merge had kept both. Change: the test reads the list. Conclusion: the event test checks the request's two events again.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -95,9 +95,7 @@
         answer = CallerClient('bakers').chat(vm.url, 'label', 3)
         request_id = answer.headers['X-Request-Id']
         pool = urllib3.PoolManager()
-        events = pool.request('GET', f'http://{vm.router_admin}/events').json()[
-
-        ]
+        events = pool.request('GET', f'http://{vm.router_admin}/events').json()
         kinds = [
             event['kind']
             for event in events
