--- a/fuchsiafork/keeper/program.py
+++ b/fuchsiafork/keeper/program.py
@@ -111,6 +111,7 @@
                 registry=self.metrics.registry,
             ),
         )
+        self._abandon = False
         self._stop = threading.Event()
         self._ended = threading.Event()
 
@@ -143,6 +144,12 @@
         self._stop.set()
         self._ended.wait(timeout_s)
 
+    def close(self, timeout_s: float = 5) -> None:
+        """Close everything at once, without handing anything back."""
+        self._abandon = True
+        self._stop.set()
+        self._ended.wait(timeout_s)
+
     async def serve(self) -> None:
         """Listen, link and tick until stopped."""
         server = LinkServer(self.hub)
@@ -161,7 +168,8 @@
         ]
         while not self._stop.is_set():
             await asyncio.sleep(_STEP_S)
-        await self._leave()
+        if not self._abandon:
+            await self._leave()
         self._ended.set()
         await asyncio.gather(*tasks, return_exceptions=True)
         dialer.stop()
--- a/fuchsiafork/router/program.py
+++ b/fuchsiafork/router/program.py
@@ -108,7 +108,7 @@
         self._admin = AdminServer(
             *_split(settings.router.admin),
             Probe(
-                ready=self._is_ready,
+                ready=lambda: self.ready,
                 status=self._status,
                 events=self.events,
                 registry=self.metrics.registry,
@@ -159,6 +159,19 @@
         self._admin.stop()
         self.events.record('router_stopped')
 
+    def close(self) -> None:
+        """Close everything at once, without waiting for requests."""
+        self._stop.set()
+        self._server.stop()
+        self.bridge.stop()
+        self._admin.stop()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send requests here."""
+        configured = self.application.directory is not None
+        return configured and self.bridge.linked and not self._stop.is_set()
+
     def _await_settlements(self) -> None:
         """Wait until the keepers know every outcome, within a bound."""
         deadline = time.monotonic() + SETTLE_WAIT_S
@@ -191,11 +204,6 @@
         """Put a newer configuration in force."""
         self.application.directory = directory
 
-    def _is_ready(self) -> bool:
-        """Return whether the balancer may send requests here."""
-        configured = self.application.directory is not None
-        return configured and self.bridge.linked and not self._stop.is_set()
-
     def _status(self) -> dict[str, Any]:
         """Return facts for operators."""
         directory = self.application.directory
@@ -205,7 +213,7 @@
             'domain': identity.domain,
             'incarnation': identity.incarnation,
             'role': 'router',
-            'ready': self._is_ready(),
+            'ready': self.ready,
             'revision': directory.revision if directory else 0,
             'digest': self.node.configuration.copy.digest,
             'admins': [],
--- a/fuchsiafork/router/server.py
+++ b/fuchsiafork/router/server.py
@@ -21,6 +21,10 @@
         return {**super().get_environ(), SOCKET_KEY: self.req.conn.socket}
 
 
+def _ignore(*args: Any, **options: Any) -> None:
+    """Print nothing."""
+
+
 class CallerServer:
     """Listens for callers and serves each in a worker thread."""
 
@@ -41,6 +45,8 @@
             timeout=READ_TIMEOUT_S,
         )
         self._server.gateway = _Gateway
+        # Breaking a connection on purpose is an event, not a fault to print.
+        self._server.error_log = _ignore  # type: ignore[method-assign]
         self._server.max_request_header_size = header_limit
         self._server.max_request_body_size = body_limit
 
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -32,7 +32,11 @@
 
 
 class EngineServer:
-    """Serves an engine model over HTTP in real time."""
+    """
+    Serves an engine model over HTTP in real time.
+
+    :ivar users: the ``user`` field of each request, by request id.
+    """
 
     def __init__(
         self,
@@ -51,6 +55,7 @@
             version,
         )
         self.lock = threading.Lock()
+        self.users: dict[str, str] = {}
         self.server = StandinServer(self._handle, port)
         self._routes = {
             ('POST', '/v1/chat/completions'): self._complete,
@@ -60,6 +65,16 @@
             ('GET', '/orders'): self._order_state,
         }
 
+    def started_wall(self, version: str) -> list[float]:
+        """Return the Unix times at which requests of a version started."""
+        offset = time.time() - time.monotonic()
+        with self.lock:
+            return [
+                record.started + offset
+                for record in self.model.records.values()
+                if record.version == version
+            ]
+
     def _handle(self, call: Call) -> Result:
         """Answer one call."""
         serve = self._routes.get((call.method, call.path))
@@ -74,6 +89,7 @@
         body = call.json()
         request_id = call.headers.get('x-request-id', '')
         echo = (('X-Request-Id', request_id),)
+        self.users[request_id] = str(body.get('user', ''))
         try:
             with self.lock:
                 self.model.submit(_to_submission(request_id, body))
@@ -119,10 +135,14 @@
         sent = start
         while True:
             record = self._wait(request_id, sent)
-            for index in range(sent, record.tokens):
+            # Other threads advance the record, so its state is read before
+            # its tokens: an ended one has no more to come.
+            ended = record.state in _ENDED
+            known = record.tokens
+            for index in range(sent, known):
                 yield _to_chunk(token_text(request_id, index))
-            sent = record.tokens
-            if record.state in _ENDED:
+            sent = known
+            if ended:
                 return
 
     def _wait(self, request_id: str, sent: int) -> Record:
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -68,6 +68,9 @@
             request_queue_size=256,
         )
 
+        # A stand-in breaks connections on purpose.
+        self._server.error_log = _ignore  # type: ignore[method-assign]
+
     @property
     def port(self) -> int:
         """The port listened on, once started."""
@@ -105,6 +108,10 @@
         return body
 
 
+def _ignore(*args: Any, **options: Any) -> None:
+    """Print nothing."""
+
+
 def json_result(
     value: Any,
     status: int = 200,
