Split the pause guard out of the holder system

Change: detecting a pause and resuming after it are in pauses.py, settling a target's record is in recovery.py. No behaviour changes.

--- a/fuchsiafork/budgets/holder.py
+++ b/fuchsiafork/budgets/holder.py
@@ -6,6 +6,7 @@
 from fuchsiafork import messages
 from fuchsiafork.budgets import ledger
 from fuchsiafork.budgets.closing import CloseOut
+from fuchsiafork.budgets.pauses import PauseGuard
 from fuchsiafork.budgets.queue import ReserveQueue
 from fuchsiafork.budgets.recovery import AskTarget, Recovery
 from fuchsiafork.budgets.routers import RouterWatch
@@ -18,9 +19,6 @@
 from fuchsiafork.kernel import outbox as effects
 from fuchsiafork.membership import MembershipSystem
 
-PAUSE_LIMIT_S = 2.0
-_ASK_CLOSED_S = 0.5
-
 
 class HolderSystem(System):
     """
@@ -71,11 +69,14 @@
         self.sync.composer.is_lone = self._queue.is_lone
         self.sync.composer.is_base = self._is_base
         self._membership = membership
-        self._last_tick = context.clock.now()
         self._renewals = 0
-        self._question = 0
-        self._answers: dict[str, bool] = {}
-        self._next_question = 0.0
+        self._pauses = PauseGuard(
+            context,
+            self.tables,
+            membership,
+            self.sync,
+            self._closing,
+        )
 
     @property
     def suspended(self) -> bool:
@@ -95,11 +96,7 @@
     @property
     def holds_money(self) -> bool:
         """Whether the ledger, as last seen, has a grant of this holder."""
-        return any(
-            row.grants.get(self.tables.holder, 0)
-            for shard in self.tables.shards.values()
-            for row in shard.record.budgets.values()
-        )
+        return any(map(self.tables.has_grant, self.tables.shards.values()))
 
     def hand_back(self) -> None:
         """Return all money that is not promised, at the next writes."""
@@ -216,8 +213,7 @@
 
     @handle.register
     def _(self, message: messages.ClosedOutKnown, sender: str) -> None:
-        if message.number == self._question:
-            self._answers[message.keeper] = message.closed
+        self._pauses.take_answer(message)
 
     @handle.register
     def _(self, message: messages.AskTransfersWritten, sender: str) -> None:
@@ -234,19 +230,7 @@
 
     @handle.register
     def _(self, message: messages.TargetRecord, sender: str) -> None:
-        held = self.tables.reservations.get(message.request_id)
-        if held is not None and message.finished:
-            settlement = Settlement(
-                held.request_id,
-                held.budget,
-                self.tables.holder,
-                min(message.tokens, held.tokens),
-                # A request that used nothing leaves the key's one bill to
-                # the retry that ran.
-                (held.key if message.tokens else '') or held.request_id,
-                held.router,
-            )
-            self.tables.settle(settlement, self._context.clock.now())
+        self._recovery.take_record(message)
 
     @handle.register(effects.KeyRead)
     @handle.register(effects.SwapDone)
@@ -262,9 +246,7 @@
         """Do what is due by the clock."""
         self._notice_pause()
         now = self._context.clock.now()
-        self._last_tick = now
-        if self.suspended:
-            self._try_resume(now)
+        self._pauses.tick()
         self._serve_waiting()
         self._queue.refuse_late(suspended=self.suspended)
         self._routers.tick(self.tables.holder, self._closing.awake_since)
@@ -278,34 +260,7 @@
 
     def _notice_pause(self) -> None:
         """Stop spending when this process stood still for too long."""
-        now = self._context.clock.now()
-        if now - self._last_tick <= PAUSE_LIMIT_S:
-            return
-        self._context.events.record('holder_paused', gap=now - self._last_tick)
-        self._last_tick = now
-        self._closing.awake_since = now
-        self.sync.suspended = True
-        self.sync.verify()
-        self._question += 1
-        self._answers = {}
-        self._next_question = now
-
-    def _try_resume(self, now: float) -> None:
-        """Go on when the ledger, or the whole domain, allows it."""
-        peers = set(self._membership.live()) - {self._context.identity.node}
-        asked = bool(peers) and peers <= self._answers.keys()
-        if self.sync.verified or (asked and not any(self._answers.values())):
-            self.sync.suspended = False
-            self._context.events.record('holder_resumed')
-            return
-        if now >= self._next_question:
-            self._next_question = now + _ASK_CLOSED_S
-            question = messages.AskClosedOut(
-                self.tables.holder,
-                self._question,
-            )
-            for peer in peers:
-                self._context.outbox.send(peer, question)
+        self._pauses.notice()
 
     def _renew(self) -> None:
         """Drop all money and go on under a new holder id."""
@@ -329,6 +284,7 @@
         self._closing.reset(self.tables)
         self._queue.reset(self.tables)
         self._recovery.reset(self.tables)
+        self._pauses.reset(self.tables)
 
     def _is_base(self, budget: str) -> bool:
         """Return whether this keeper is the domain's first for a budget."""
--- a/fuchsiafork/budgets/recovery.py
+++ b/fuchsiafork/budgets/recovery.py
@@ -72,3 +72,20 @@
             ):
                 held.asked_target_at = now
                 self.ask_target(held.request_id, held.budget, held.target)
+
+    def take_record(self, message: messages.TargetRecord) -> None:
+        """Settle what a target's record says of a finished request."""
+        held = self._tables.reservations.get(message.request_id)
+        if held is None or not message.finished:
+            return
+        settlement = Settlement(
+            held.request_id,
+            held.budget,
+            self._tables.holder,
+            min(message.tokens, held.tokens),
+            # A request that used nothing leaves the key's one bill to
+            # the retry that ran.
+            (held.key if message.tokens else '') or held.request_id,
+            held.router,
+        )
+        self._tables.settle(settlement, self._context.clock.now())
--- a/fuchsiafork/budgets/tables.py
+++ b/fuchsiafork/budgets/tables.py
@@ -180,6 +180,13 @@
         """Return what can be reserved of a budget."""
         return self.budget(budget, now).available(self.holder)
 
+    def has_grant(self, shard: Shard) -> bool:
+        """Return whether a record, as last seen, has a grant of this holder."""
+        return any(
+            row.grants.get(self.holder, 0)
+            for row in shard.record.budgets.values()
+        )
+
     def settle(self, settlement: Settlement, now: float) -> None:
         """Turn a reservation into tokens used that the ledger must learn."""
         request_id = settlement.request_id
