--- a/fuchsiafork/budgets/transfers.py
+++ b/fuchsiafork/budgets/transfers.py
@@ -202,7 +202,9 @@
         Return what waiting requests of this holder come first with.
 
         Of two holders that are both short, the one that is shorter yields,
-        so that the parts come together in one place.
+        so that the parts come together in one place. One whose money would
+        serve the asker's request whole yields too: it would otherwise keep
+        for its own request what serves neither of them.
         """
         own = self._tables.holder
         needed = self._least_needs().get(message.budget, 0)
@@ -210,7 +212,10 @@
             message.budget,
             self._context.clock.now(),
         )
-        short = needed - state.available(own)
+        room = state.available(own)
+        short = needed - room
+        if short > 0 and message.tokens <= room:
+            return 0
         first = rank(message.budget, (own, message.receiver))[0]
         # The smaller need comes first: its request is served sooner.
         yields = message.tokens < short or first != own
