Refuse for lack of money only after the ledger was asked

Cause: on a busy machine the first 24 requests of a fresh fleet were refused as exhausted (2101) although the budget held 100,000 tokens: the holder's first ledger write took longer than the fixed wait of 1 s. Ruled out: the grants; the next request a second later was served. Change: a request waits up to 4 s while the ledger has not answered since it came, or shows free money that covers it; during an outage the wait stays 1 s; a refusal without an answer of the ledger is 2102, not 2101. Also connects the loading of versions to engines: orders go out with a fencing number once the target is idle, and target order edits the section.

--- a/fuchsiafork/adapters/engine.py
+++ b/fuchsiafork/adapters/engine.py
@@ -16,6 +16,9 @@
 
 TIMEOUT_S = 2.0
 
+_HTTP_CONFLICT = 409
+_HTTP_SERVER_ERROR = 500
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestRecord:
@@ -85,9 +88,21 @@
             float(body.get('memory_s', 0)),
         )
 
-    def order(self, url: str, order: dict[str, Any]) -> dict[str, Any]:
-        """Return the target's answer to an order."""
-        return self._ask('POST', f'{url}/orders', order)
+    def order(self, url: str, order: dict[str, Any]) -> bool:
+        """
+        Return whether a target took an order.
+
+        It refuses one with an old fencing number, if it checks that.
+
+        :raises TargetFailedError: if it gives no answer.
+        """
+        try:
+            answer = self._pool.request('POST', f'{url}/orders', json=order)
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            raise TargetFailedError(f'order to {url!r}: {error}') from None
+        if answer.status >= _HTTP_SERVER_ERROR:
+            raise TargetFailedError(f'order to {url!r}: {answer.status}')
+        return answer.status != _HTTP_CONFLICT
 
     def order_state(self, url: str) -> dict[str, Any]:
         """Return the last order that the target carried out."""
--- a/fuchsiafork/budgets/queue.py
+++ b/fuchsiafork/budgets/queue.py
@@ -1,7 +1,12 @@
 """The requests that wait for money, and what is promised to them."""
 
 from fuchsiafork import messages
-from fuchsiafork.budgets.tables import HolderTables, Reservation, Waiting
+from fuchsiafork.budgets.tables import (
+    HolderTables,
+    Reservation,
+    Shard,
+    Waiting,
+)
 from fuchsiafork.kernel import Context
 from fuchsiafork.kernel.errors import (
     BudgetExhaustedError,
@@ -11,6 +16,8 @@
 
 VALID_S = 5.0
 WAIT_S = 1.0
+# A busy store takes longer than the usual wait to grant money that is there.
+LEDGER_WAIT_S = 4.0
 QUEUE_BOUND = 256
 
 
@@ -44,6 +51,8 @@
             message,
             sender,
             now + min(WAIT_S, message.deadline_s),
+            now,
+            now + min(LEDGER_WAIT_S, message.deadline_s),
         )
 
     def serve(self) -> None:
@@ -53,7 +62,7 @@
         for name, row in list(tables.waiting.items()):
             message = row.message
             fits = message.tokens <= tables.available(message.budget, now)
-            if not fits or not self._may_serve(row) or now >= row.until:
+            if not fits or not self._may_serve(row) or now >= row.limit:
                 continue
             tables.waiting.pop(name)
             held = Reservation(
@@ -74,13 +83,25 @@
         now = self._context.clock.now()
         for name, row in list(self._tables.waiting.items()):
             shard = self._tables.shard_of(row.message.budget)
-            if now < row.until:
+            if now < row.until or self._may_be_granted(row, shard, now):
                 shard.urgent = True
                 continue
             self._tables.waiting.pop(name)
-            unsure = suspended or shard.failing
+            unseen = shard.synced_at < row.arrived
+            unsure = suspended or shard.failing or unseen
             self._refuse(row.message, row.router, unsure=unsure)
 
+    def _may_be_granted(self, row: Waiting, shard: Shard, now: float) -> bool:
+        """Return whether the ledger may still grant what a request needs."""
+        if shard.failing or now >= row.limit:
+            return False
+        if shard.synced_at < row.arrived:
+            return True
+        budget = shard.record.budgets.get(row.message.budget)
+        held = self._tables.available(row.message.budget, now)
+        shortage = row.message.tokens - held
+        return budget is not None and 0 < shortage <= budget.free
+
     def confirm(self, held: Reservation) -> None:
         """Tell the router that its reservation stands."""
         self._context.outbox.send(
--- a/fuchsiafork/budgets/tables.py
+++ b/fuchsiafork/budgets/tables.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from fuchsiafork import messages
 from fuchsiafork.budgets import ledger
@@ -117,11 +118,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Waiting:
-    """A request for which there is no money yet."""
+    """
+    A request for which there is no money yet; times are of the local clock.
+
+    :ivar until: end of the usual wait.
+    :ivar limit: end of the wait while the ledger has not answered yet, or
+        has money that would cover the request.
+    """
 
     message: messages.Reserve
     router: str
     until: float
+    arrived: float = 0
+    limit: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/fuchsiafork/keeper/composition.py
+++ b/fuchsiafork/keeper/composition.py
@@ -1,7 +1,6 @@
 """The systems of a keeper and how they are connected."""
 
 import dataclasses
-from collections.abc import Callable, Iterable
 from typing import Any
 
 from fuchsiafork.budgets import HolderSystem
@@ -11,10 +10,12 @@
     Target,
 )
 from fuchsiafork.dispatch import DispatchSystem
+from fuchsiafork.keeper.versions import VersionFeed
 from fuchsiafork.kernel import Context, System
 from fuchsiafork.membership import MembershipSystem
 from fuchsiafork.outcomes import OutcomeSystem
 from fuchsiafork.rollouts import MembershipPeers, RolloutSystem
+from fuchsiafork.rollouts.loading import LoadingSystem
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +29,8 @@
     outcomes: OutcomeSystem
     dispatch: DispatchSystem
     rollouts: RolloutSystem
+    loading: LoadingSystem
+    leaving_targets: set[str] = dataclasses.field(default_factory=set)
     document: Document = dataclasses.field(default_factory=Document)
 
     @property
@@ -43,16 +46,8 @@
             ('outcomes', self.outcomes),
             ('rollouts', self.rollouts),
             ('dispatch', self.dispatch),
-            (
-                'rollout-targets',
-                RolloutTargets(
-                    self.context,
-                    self.membership,
-                    self.rollouts,
-                    self.dispatch,
-                    lambda: self.document.versions,
-                ),
-            ),
+            ('loading', self.loading),
+            ('versions', VersionFeed(self)),
         ]
 
     def configure(self, document: Document) -> None:
@@ -113,41 +108,6 @@
         }
 
 
-class RolloutTargets(System):
-    """Tells the rollouts which versions have targets that can serve."""
-
-    def __init__(
-        self,
-        context: Context,
-        membership: MembershipSystem,
-        rollouts: RolloutSystem,
-        dispatch: DispatchSystem,
-        versions: Callable[[], Iterable[str]],
-    ) -> None:
-        """Count the dispatch's targets for the rollouts."""
-        super().__init__(context)
-        self._versions = versions
-        self._membership = membership
-        self._rollouts = rollouts
-        self._dispatch = dispatch
-
-    def handle(self, message: Any, sender: str) -> None:
-        """Take no messages."""
-
-    def tick(self) -> None:
-        """Count the serving targets of each version."""
-        counts = dict.fromkeys(self._versions(), 0)
-        now = self._context.clock.now()
-        wall = self._context.clock.wall()
-        for row in self._dispatch.targets.values():
-            if row.is_usable(now, wall):
-                version = row.version or row.section.version
-                counts[version] = counts.get(version, 0) + 1
-        self._membership.verdicts = self._rollouts.verdict_count
-        for version, count in sorted(counts.items()):
-            self._rollouts.set_available(version, count)
-
-
 def make_systems(context: Context, address: str) -> Systems:
     """
     Return the connected systems of a keeper.
@@ -165,6 +125,7 @@
         outcomes=OutcomeSystem(context, membership),
         dispatch=DispatchSystem(context, membership, rollouts),
         rollouts=rollouts,
+        loading=LoadingSystem(context),
     )
     systems.configuration.copy.subscribe(systems.configure)
     return systems
--- a/fuchsiafork/keeper/platform.py
+++ b/fuchsiafork/keeper/platform.py
@@ -122,4 +122,4 @@
             for name, target in self._systems.document.targets.items()
             if urllib.parse.urlsplit(target.url).hostname in addresses
         }
-        self._act(lambda: self._systems.dispatch.set_leaving(names))
+        self._systems.leaving_targets = names
--- a/fuchsiafork/keeper/program.py
+++ b/fuchsiafork/keeper/program.py
@@ -1,10 +1,12 @@
 """Composes a keeper process and runs it until it is told to stop."""
 
 import asyncio
+import functools
 import random
 import secrets
 import signal
 import threading
+from collections.abc import Callable
 from typing import Any
 
 from fuchsiafork.adapters.engine import EngineClient
@@ -13,6 +15,7 @@
 from fuchsiafork.keeper.composition import Systems, make_systems
 from fuchsiafork.keeper.metrics import KeeperMetrics
 from fuchsiafork.keeper.node import KeeperNode
+from fuchsiafork.keeper.orders import OrderDesk
 from fuchsiafork.keeper.platform import PlatformWatch
 from fuchsiafork.keeper.polling import TargetPoller
 from fuchsiafork.keeper.records import RecordReader
@@ -30,6 +33,7 @@
 from fuchsiafork.messages import Goodbye, Hello
 from fuchsiafork.observability.admin import AdminServer, Probe
 from fuchsiafork.observability.logs import event_logger
+from fuchsiafork.rollouts.loading import ENGINES
 from fuchsiafork.settings import KeeperSettings
 
 # Time for peers and routers to see that this keeper is leaving.
@@ -222,6 +226,13 @@
     async def _poll_targets(self) -> None:
         """Read targets that this keeper is responsible for."""
         engines = EngineClient()
+        loop = asyncio.get_running_loop()
+        desk = OrderDesk(
+            engines,
+            lambda: self.systems.document,
+            functools.partial(_hand_over, loop, self._receive_local),
+        )
+        self.runtime.local[ENGINES] = desk.take
         poller = TargetPoller(
             engines,
             self.context.clock,
@@ -239,6 +250,7 @@
             poller.run(self._ended.is_set),
             reader.run(self._ended.is_set),
         )
+        desk.close()
 
     def _receive_local(self, message: Any) -> None:
         """Hand a message that an adapter made to the node."""
@@ -291,6 +303,15 @@
         }
 
 
+def _hand_over(
+    loop: asyncio.AbstractEventLoop,
+    receive: Callable[[Any], None],
+    message: Any,
+) -> None:
+    """Hand a message of another thread to the event loop."""
+    loop.call_soon_threadsafe(receive, message)
+
+
 def _split(address: str) -> tuple[str, int]:
     """Return host and port of ``ip:port``."""
     host, _, port = address.rpartition(':')
--- a/fuchsiafork/keeper/runtime.py
+++ b/fuchsiafork/keeper/runtime.py
@@ -3,7 +3,7 @@
 import asyncio
 import concurrent.futures
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from fuchsiafork.keeper.node import KeeperNode
 from fuchsiafork.kernel import Context, outbox
@@ -49,6 +49,8 @@
             STORE_THREADS,
             thread_name_prefix='store',
         )
+        # Destinations inside this process, such as the engine adapter.
+        self.local: dict[str, Callable[[Any], None]] = {}
         self._in_flight = 0
         self._calls: set[asyncio.Task[None]] = set()
 
@@ -85,7 +87,9 @@
             for operation in operations:
                 self._start_call(operation)
             for send in sends:
-                if send.destination == own:
+                if send.destination in self.local:
+                    self.local[send.destination](send.message)
+                elif send.destination == own:
                     sender = send.sender or own
                     self.node.receive(send.message, sender, own)
                 else:
--- a/fuchsiafork/operator_cli/targets.py
+++ b/fuchsiafork/operator_cli/targets.py
@@ -1,8 +1,6 @@
 """Commands on targets."""
 
 import datetime as dt
-import json
-import time
 
 import cyclopts
 
@@ -20,9 +18,6 @@
     StoreOptions,
 )
 from fuchsiafork.operator_cli.output import Exit, show_rows
-from fuchsiafork.operator_cli.swaps import change_value
-
-ORDER_PREFIX = 'orders/'
 
 app = cyclopts.App(name='target', help='List, drain and order targets.')
 
@@ -81,15 +76,20 @@
     *,
     store: StoreOptions,
     by: ChangeOptions | None = None,
+    admin: Admin = (),
+    wait: float = 0,
     json_form: AsJson = False,
 ) -> int:
     """
-    Record the order that a target loads a version.
+    Have a target load a version.
 
-    The revision of the record is the order's fencing number.
+    The target's section names the version from then on; the keeper that
+    owns the target orders it with a fencing number and reads back that it
+    is loaded before requests go there.
 
     :param name: name of the target section.
     :param version: version to load, of the pool that the target serves.
+    :param wait: seconds to wait until all processes have it in force.
     """
     document = parse_document(store.document().read().text)
     target = section_of(document.targets, 'target', name)
@@ -99,38 +99,7 @@
         raise ConfigurationConflictError(
             f'{version!r} is not a version of {pool!r}',
         )
-    fence = _write_order(store, name, version, by or ChangeOptions())
-    show_rows(
-        [{'target': name, 'version': version, 'fencing_number': fence}],
-        as_json=json_form,
-    )
-    return Exit.OK
-
-
-def _write_order(
-    store: StoreOptions,
-    name: str,
-    version: str,
-    by: ChangeOptions,
-) -> int:
-    """Return the revision of the order after writing it once."""
-    record = {
-        'order_id': by.change_id,
-        'version': version,
-        'author': by.author,
-        'wall_s': time.time(),
-    }
-    encoded = json.dumps(record).encode()
-    return change_value(
-        store.connect(),
-        f'{ORDER_PREFIX}{name}',
-        lambda raw: None if _order_id(raw) == by.change_id else encoded,
-    )
-
-
-def _order_id(raw: bytes | None) -> str:
-    """Return the id of a recorded order, empty if there is none."""
-    try:
-        return str(json.loads(raw or b'{}').get('order_id', ''))
-    except (ValueError, AttributeError):
-        return ''
+    change = (by or ChangeOptions()).change(target.owner)
+    edit = set_keys(f'target:{name}', {'version': version})
+    done = apply_change(store, change, edit)
+    return report_change(done, admin, wait, as_json=json_form)
--- a/fuchsiafork/rollouts/loading.py
+++ b/fuchsiafork/rollouts/loading.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+from collections.abc import Callable
 from typing import Any
 
 from fuchsiafork.kernel import Context, System
@@ -63,6 +64,9 @@
         self.owned: set[str] = set()
         # Version -> least number of its targets of a group that must stay.
         self.needed: dict[str, int] = {}
+        # Loading ends what a target runs, so the order waits until it is
+        # idle; the program gives such a target no new work.
+        self.is_idle: Callable[[str], bool] = lambda target: True
         self._leases = Leases(context.clock)
         self._recent: collections.deque[float]
         self._recent = collections.deque(maxlen=_LOADS_PER_WINDOW)
@@ -236,6 +240,8 @@
     def _send_order(self, attempt: Attempt) -> None:
         """Send the order; only the holder of the group may."""
         target = self.targets[attempt.target]
+        if not self.is_idle(target.name):
+            return
         if not self._context.invariants.check(
             'one_orderer',
             self._leases.holds(attempt) and attempt.fence > 0,
--- a/measurements/demo_site.py
+++ b/measurements/demo_site.py
@@ -79,7 +79,6 @@
 
     def start(self) -> None:
         """Start everything and wait until all routers are ready."""
-        configure_logs('error')
         self.store.start()
         self._start_targets()
         apply_sections(self.store.url, self.sections)
@@ -201,6 +200,7 @@
 
 def load_site(name: str) -> Site:
     """Return the site of a sample, with a rollout of a bad version."""
+    configure_logs('error')
     parser = configparser.ConfigParser(interpolation=None)
     parser.read(_SAMPLES / f'{name}.ini', encoding='utf-8')
     sections = {
