Give money to holders that have just started; reach every keeper

Also, messages for a keeper of another domain that is no gateway were dropped, and a dead keeper kept its place as gateway. Ruled out: the wait at the asker; it was long enough. Change: a question of an unknown holder stands until the record is read again; unlinked keepers are reached through a live gateway of their domain.

--- a/fuchsiafork/budgets/transfers.py
+++ b/fuchsiafork/budgets/transfers.py
@@ -100,11 +100,15 @@
         state = tables.budget(message.budget, now)
         registered = state.shard.record.holders
         if not {message.receiver, tables.holder} <= registered.keys():
+            # A holder that has just started is not in an older copy of the
+            # record yet; the question stands until the record is read.
+            state.shard.must_read = True
+            self._let_stand(message, now + STANDING_S)
             return
         room = state.available(tables.holder) - self._own_need(message)
         tokens = min(message.tokens, room)
         if tokens <= 0:
-            self._standing[message.budget, message.receiver] = (
+            self._let_stand(
                 message,
                 now + STANDING_S if until is None else until,
             )
@@ -133,6 +137,10 @@
         )
         self._send(name, transfer)
 
+    def _let_stand(self, message: messages.AskTransfer, until: float) -> None:
+        """Keep a question until there is money for it, or time runs out."""
+        self._standing[message.budget, message.receiver] = (message, until)
+
     def give_standing(self) -> None:
         """Serve recent questions for which there was no money before."""
         now = self._context.clock.now()
--- a/fuchsiafork/keeper/program.py
+++ b/fuchsiafork/keeper/program.py
@@ -261,6 +261,7 @@
     def _note_links(self) -> None:
         """Take over which routers and keepers are linked."""
         membership = self.systems.membership
+        membership.linked = set(self.hub.links)
         membership.local_routers = {
             link.hello.node
             for link in self.hub.links.values()
--- a/fuchsiafork/membership/system.py
+++ b/fuchsiafork/membership/system.py
@@ -1,50 +1,27 @@
 """Heartbeats between the keepers and the view that follows from them."""
 
-import dataclasses
 import functools
 import math
 from typing import Any
 
 from fuchsiafork import messages
 from fuchsiafork.kernel import Context, System, rank
-from fuchsiafork.membership.homes import home_key
+from fuchsiafork.membership.contacts import (
+    Member,
+    choose_contacts,
+    find_hop,
+)
+from fuchsiafork.membership.picking import pick_home
 
 HEARTBEAT_INTERVAL_S = 0.5
 # Four heartbeats; a shorter time takes a busy process for a dead one.
 SILENCE_LIMIT_S = 2.0
 ROSTER_INTERVAL_S = 5.0
-GATEWAYS_PER_DOMAIN = 2
 # Peers of a domain that comes back after a partition are dialled again at
 # their old addresses until then.
 FORGET_AFTER_S = 600.0
 
 
-@dataclasses.dataclass(slots=True)
-class Member:
-    """
-    A keeper as this one sees it.
-
-    :ivar last_heard: local clock time of its last heartbeat, seconds.
-    """
-
-    node: str
-    domain: str
-    incarnation: str
-    address: str
-    revision: int
-    leaving: bool
-    routers: tuple[str, ...]
-    last_heard: float
-    verdicts: int = 0
-    introduced_at: float = 0.0
-    admins: tuple[str, ...] = ()
-
-    @property
-    def vm(self) -> str:
-        """The VM it runs on."""
-        return self.node.partition('/')[0]
-
-
 class MembershipSystem(System):
     """Keeps the table of keepers and routers."""
 
@@ -61,6 +38,8 @@
         self.members: dict[str, Member] = {}
         self.local_routers: set[str] = set()
         self.local_admins: set[str] = set()
+        # Nodes with an open link; None where every node can be reached.
+        self.linked: set[str] | None = None
         self.revision = 0
         self.verdicts = 0
         self.leaving = False
@@ -130,7 +109,7 @@
         self._next_heartbeat = now + HEARTBEAT_INTERVAL_S
         self._forget_lost(now)
         beat = self._heartbeat(now)
-        targets = self._heartbeat_targets()
+        targets = self._contacts()
         for node in targets:
             self._context.outbox.send(node, beat)
         if targets and now >= self._next_roster:
@@ -164,7 +143,7 @@
 
     def addresses(self) -> set[str]:
         """Return where links to the members heartbeats go to are opened."""
-        wanted = self._heartbeat_targets()
+        wanted = self._contacts()
         return {self.members[node].address for node in wanted}
 
     def admins(self) -> list[str]:
@@ -203,7 +182,7 @@
 
         Empty if none is live.
         """
-        return _pick_home(message, self)
+        return pick_home(message, self)
 
     def domains(self) -> list[str]:
         """Return this failure domain and the others that are reachable."""
@@ -218,12 +197,9 @@
 
         Empty if no way to the destination is known.
         """
-        if destination in self.local_routers or destination in self.members:
+        if destination in self.local_routers:
             return destination
-        for member in self.members.values():
-            if destination in member.routers:
-                return member.node
-        return ''
+        return find_hop(destination, self.members, self.linked, self.live)
 
     def _forget_lost(self, now: float) -> None:
         """Drop members that have been silent for long."""
@@ -272,64 +248,10 @@
             admins=tuple(sorted(self.local_admins)),
         )
 
-    def _heartbeat_targets(self) -> list[str]:
-        """Return the members to which heartbeats go."""
-        own = self._context.identity.domain
-        same = [
-            member.node
-            for member in self.members.values()
-            if member.domain == own
-        ]
-        others = {member.domain for member in self.members.values()} - {own}
-        for domain in sorted(others):
-            nodes = [
-                member.node
-                for member in self.members.values()
-                if member.domain == domain
-            ]
-            gateways = rank(self._context.identity.node, nodes)
-            same.extend(gateways[:GATEWAYS_PER_DOMAIN])
-        return same
-
-
-@functools.singledispatch
-def _pick_home(message: Any, membership: MembershipSystem) -> str:
-    """Return the first-ranked keeper of this failure domain."""
-    return _first(membership.homes(home_key(message)))
-
-
-@_pick_home.register
-def _(message: messages.Reserve, membership: MembershipSystem) -> str:
-    """
-    Return the first-ranked holder that is not on the router's own VM.
-
-    The record of a reservation then lies on two VMs.
-    """
-    homes = membership.homes(home_key(message))
-    prefix = f'{message.exclude_vm}/'
-    others = [node for node in homes if not node.startswith(prefix)]
-    return _first(others or homes)
-
-
-@_pick_home.register(messages.BindKey)
-@_pick_home.register(messages.RecordOutcome)
-def _(message: Any, membership: MembershipSystem) -> str:
-    """Return the key's home in its first-ranked reachable domain."""
-    key = home_key(message)
-    domain = rank(key, membership.domains())[0]
-    return _first(membership.homes(key, domain))
-
-
-@_pick_home.register(messages.StartUse)
-@_pick_home.register(messages.Settle)
-def _(message: Any, membership: MembershipSystem) -> str:
-    """Return the holder, or the keeper that closes it out."""
-    node = message.holder.partition('#')[0]
-    if node in membership.live():
-        return node
-    return _first(membership.homes(home_key(message)))
-
-
-def _first(nodes: list[str]) -> str:
-    """Return the first node, or an empty string."""
-    return nodes[0] if nodes else ''
+    def _contacts(self) -> list[str]:
+        """Return the members to which heartbeats go and links are kept."""
+        return choose_contacts(
+            self._context.identity,
+            self.members,
+            self.live,
+        )
--- a/tests/test_budgets_money.py
+++ b/tests/test_budgets_money.py
@@ -48,6 +48,18 @@
             desk.give(messages.AskTransfer(name, 'x', receiver, tokens))
         self.assertEqual(list(tables.transfers), ['part'])
 
+    def test_holder_that_has_just_started_is_given_money(self) -> None:
+        """Guards against an old copy of the record that hides the asker."""
+        self.demand(1)
+        tables = self.tables('a-0')
+        receiver = self.tables('b-0').holder
+        tables.budgets['x'].shard.record.holders.pop(receiver)
+        desk = self.fleet.keepers['a-0'].holder._desk
+        desk.give(messages.AskTransfer('new', 'x', receiver, 22))
+        self.assertNotIn('new', tables.seen_transfers)
+        self.fleet.run(0.25)
+        self.assertIn('new', tables.seen_transfers)
+
     def test_lost_transfers_strand_money_and_never_double_it(self) -> None:
         """Guards against a transfer lost, or credited twice."""
         self.fleet.network.faults.drop = 0.3
