--- a/tests/test_budgets_money.py
+++ b/tests/test_budgets_money.py
@@ -53,7 +53,8 @@
         self.demand(1)
         tables = self.tables('a-0')
         receiver = self.tables('b-0').holder
-        tables.budgets['x'].shard.record.holders.pop(receiver)
+        record = tables.budgets['x'].shard.record
+        record.holders.pop(receiver)
         desk = self.fleet.keepers['a-0'].holder._desk
         desk.give(messages.AskTransfer('new', 'x', receiver, 22))
         self.assertNotIn('new', tables.seen_transfers)
