Pause an engine's stream while its caller stands still

Cause: a caller that stopped reading kept its target's slot, its worker thread and the engine's stream until the write deadline, and the time it held the stream up counted as token gap of the version. A body or a header that came a byte at a time could hold a worker thread without end, since the body's deadline was only looked at after 64 KiB had come.

Change: the router writes to callers through its own writer, which takes a kernel acknowledgement as progress. Past stall_s (5 s) the engine's stream is paused, its connection closed and its slot given back; when the caller reads on, a slot on the same target is taken under the same slot id and the stream is resumed behind the last whole event. Past write_deadline_s the connection is closed with an event; half of the worker threads stay free of stalled streams. A request must come whole within read_deadline_s (30 s); chunk heads are bounded. stream_buffer_bytes is now in effect. The machine is unchanged.

--- a/fuchsiafork/router/application.py
+++ b/fuchsiafork/router/application.py
@@ -1,11 +1,13 @@
 """The callers' HTTP interface, as a WSGI application."""
 
+import functools
 import json
 import threading
-import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from cheroot.errors import MaxSizeExceeded
+
 from fuchsiafork.kernel import Clock, EventRing, FuchsiaforkError
 from fuchsiafork.kernel.errors import (
     BadRequestError,
@@ -19,13 +21,12 @@
 from fuchsiafork.router.machine_types import Answer, Request, Services
 from fuchsiafork.router.metrics import RouterMetrics
 from fuchsiafork.router.parsing import Incoming, parse_request
-
-BODY_DEADLINE_S = 30.0
+from fuchsiafork.router.stalls import StallLimit
 
 _PIECE_BYTES = 65_536
 _JSON = 'application/json'
-# Key of the WSGI environment under which the gateway puts the socket.
-SOCKET_KEY = 'fuchsiafork.socket'
+# Key of the WSGI environment under which the gateway puts the writer.
+WRITER_KEY = 'fuchsiafork.writer'
 
 
 class Application:
@@ -38,7 +39,7 @@
         make_driver: Callable[[Caller], Driver],
         metrics: RouterMetrics,
         body_limit: int,
-        write_deadline_s: float,
+        stalls: StallLimit,
     ) -> None:
         """Serve requests with a driver for each caller."""
         self.directory: Directory | None = None
@@ -48,7 +49,7 @@
         self._make_driver = make_driver
         self._metrics = metrics
         self._body_limit = body_limit
-        self._write_deadline_s = write_deadline_s
+        self._stalls = stalls
         self._open: dict[str, str] = {}
         self._idle = threading.Condition()
 
@@ -71,8 +72,9 @@
         request_id = self._ids.take()
         caller = Caller(
             start_response,
-            environ.get(SOCKET_KEY),
-            self._write_deadline_s,
+            environ.get(WRITER_KEY),
+            self._stalls,
+            functools.partial(self._note, request_id),
         )
         with self._idle:
             self._open[request_id] = environ['PATH_INFO']
@@ -86,6 +88,10 @@
                 self._idle.notify_all()
         return ()
 
+    def _note(self, request_id: str, kind: str, **fields: Any) -> None:
+        """Record an event of a request."""
+        self._events.record(kind, request_id=request_id, **fields)
+
     @property
     def _events(self) -> EventRing:
         """The ring of the process."""
@@ -145,20 +151,17 @@
         return request
 
     def _read_body(self, environ: dict[str, Any]) -> bytes:
-        """Return the body, read within the bound and the deadline."""
+        """Return the body, read within the bound."""
         given = environ.get('CONTENT_LENGTH') or '0'
         if not given.isdecimal():
             raise BadRequestError(f'Content-Length {given!r}')
         if int(given) > self._body_limit:
             raise RequestTooLargeError(f'{given} bytes')
-        deadline = time.monotonic() + BODY_DEADLINE_S
         body = bytearray()
         while piece := _read_piece(environ):
             body.extend(piece)
             if len(body) > self._body_limit:
                 raise RequestTooLargeError(f'over {self._body_limit} bytes')
-            if time.monotonic() > deadline:
-                raise BadRequestError('the body came too slowly')
         return bytes(body)
 
     def _note_answer(
@@ -261,5 +264,13 @@
     """Return the next bytes of the body, none at its end."""
     try:
         return environ['wsgi.input'].read(_PIECE_BYTES)
+    except (TimeoutError, ValueError) as error:
+        # The caller was too slow, or the head of a chunk is malformed.
+        raise BadRequestError(f'the body broke off: {error}') from None
+    except MaxSizeExceeded as error:
+        raise RequestTooLargeError(str(error)) from None
     except OSError as error:
+        if error.errno is None:
+            # The server says so of a chunk that is over the bound.
+            raise RequestTooLargeError(str(error)) from None
         raise BadRequestError(f'the body broke off: {error}') from None
--- a/fuchsiafork/router/caller.py
+++ b/fuchsiafork/router/caller.py
@@ -1,40 +1,44 @@
 """The caller's side of one HTTP exchange."""
 
 import http
-import socket
 from collections.abc import Callable, Mapping
 from typing import Any
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+from fuchsiafork.router.stalls import StallLimit
+from fuchsiafork.router.writer import CallerWriter, SlowWriteError
 
-# Bounds what the kernel holds for a caller that reads slowly.
-SEND_BUFFER_BYTES = 65_536
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
 class CallerGoneError(Exception):
     """The caller closed, or read nothing for the write deadline."""
 
 
+class TooManyStalledError(OSError):
+    """The limit of stalled streams is reached."""
+
+
 class Caller:
     """Writes one answer, piece by piece, to the caller's socket."""
 
     def __init__(
         self,
         start_response: StartResponse,
-        sock: socket.socket | None,
-        write_deadline_s: float,
+        writer: CallerWriter | None,
+        stalls: StallLimit,
+        note: Callable[..., None],
     ) -> None:
-        """Bound the socket's buffer and the time of one write."""
+        """Tell ``note(kind, **fields)`` of stalls; ``writer`` for tests."""
         self.started = False
+        self.on_stall: Callable[[], None] = _ignore
         self._start_response = start_response
         self._write: Callable[[bytes], Any] | None = None
-        if sock is not None:
-            sock.settimeout(write_deadline_s)
-            sock.setsockopt(
-                socket.SOL_SOCKET,
-                socket.SO_SNDBUF,
-                SEND_BUFFER_BYTES,
-            )
+        self._stalls = stalls
+        self._note = note
+        self._entered = False
+        if writer is not None:
+            writer.on_stall = self._stall
+            writer.on_progress = self._progress
 
     def begin(self, status: int, headers: Mapping[str, str]) -> None:
         """Set status and headers; they go out with the first piece."""
@@ -53,9 +57,36 @@
         self.started = True
         try:
             self._write(piece)
+        except (SlowWriteError, TooManyStalledError) as error:
+            self._note('slow_caller_closed', reason=str(error))
+            raise CallerGoneError(str(error)) from None
         except OSError as error:
             raise CallerGoneError(str(error)) from None
 
+    def _stall(self) -> None:
+        """
+        Take a stalled write into account.
+
+        :raises TooManyStalledError: if no more are allowed.
+        """
+        self._entered = self._stalls.enter()
+        if not self._entered:
+            raise TooManyStalledError(
+                f'{self._stalls.limit} streams are stalled already',
+            )
+        self._note('stream_stalled', stalled=self._stalls.count)
+        self.on_stall()
+
+    def _progress(self) -> None:
+        """Count the stream out when its write ended or goes on."""
+        if self._entered:
+            self._entered = False
+            self._stalls.leave()
+
+
+def _ignore() -> None:
+    """Take no notice."""
+
 
 def _phrase(status: int) -> str:
     """Return the standard phrase of a status."""
--- a/fuchsiafork/router/driver.py
+++ b/fuchsiafork/router/driver.py
@@ -5,31 +5,23 @@
 import threading
 import time
 from collections.abc import Generator
-from typing import Any, Protocol
+from typing import Any
 
+from fuchsiafork import messages
 from fuchsiafork.adapters.engine import EngineClient
 from fuchsiafork.adapters.target_call import (
     BrokenCallError,
     ConnectError,
     TargetCall,
 )
-from fuchsiafork.kernel import Clock, FuchsiaforkError
+from fuchsiafork.kernel import Clock, EventRing, FuchsiaforkError
 from fuchsiafork.router import machine_types as commands
 from fuchsiafork.router.caller import Caller
 from fuchsiafork.router.machine import serve_request
+from fuchsiafork.router.pausing import Correspondent, EngineStream
 from fuchsiafork.router.relay import Relay
 
 
-class Correspondent(Protocol):
-    """Exchanges messages with the keepers."""
-
-    def ask(self, message: Any, destination: str, timeout_s: float) -> Any:
-        """Return the reply to a message, or None after the time-out."""
-
-    def tell(self, message: Any, destination: str) -> None:
-        """Send a message without waiting."""
-
-
 class Driver:
     """Carries out the commands of one request, blocking."""
 
@@ -39,12 +31,20 @@
         engines: EngineClient,
         caller: Caller,
         clock: Clock,
+        events: EventRing,
+        piece_bytes: int,
     ) -> None:
         """Serve one caller."""
         self._correspondent = correspondent
         self._engines = engines
         self._caller = caller
         self._clock = clock
+        self._events = events
+        self._piece_bytes = piece_bytes
+        self._grant: (
+            tuple[messages.AcquireSlot, messages.SlotAcquired] | None
+        ) = None
+        self._stream: EngineStream | None = None
         self._call: TargetCall | None = None
         self._called_at = 0.0
 
@@ -75,11 +75,14 @@
 
     @_execute.register
     def _(self, command: commands.Ask) -> Any:
-        return self._correspondent.ask(
+        reply = self._correspondent.ask(
             command.message,
             command.destination,
             command.timeout_s,
         )
+        if isinstance(reply, messages.SlotAcquired):
+            self._grant = (command.message, reply)
+        return reply
 
     @_execute.register
     def _(self, command: commands.Tell) -> None:
@@ -123,6 +126,7 @@
             return commands.ConnectFailed(str(error))
         self._call = call
         self._called_at = self._clock.now()
+        self._stream = self._make_stream(command)
         try:
             call.send(
                 command.method,
@@ -145,11 +149,25 @@
             self._clock,
             command,
             self._called_at,
+            self._stream,
+            self._piece_bytes,
         )
         relayed = relay.run()
         self._close_call()
         return relayed
 
+    def _make_stream(self, command: commands.CallTarget) -> EngineStream | None:
+        """Return the control of the stream that a call opens."""
+        if self._grant is None:
+            return None
+        return EngineStream(
+            self._correspondent,
+            self._clock,
+            self._events,
+            command,
+            self._grant,
+        )
+
     def _run_background(self, steps: Generator[Any, Any, None]) -> None:
         """
         Run steps that go on after their request has ended.
--- /dev/null
+++ b/fuchsiafork/router/pausing.py
@@ -0,0 +1,210 @@
+"""Pauses an engine's stream while its caller stands still."""
+
+import dataclasses
+import json
+import time
+from typing import Any, Protocol
+
+from fuchsiafork import messages
+from fuchsiafork.adapters.target_call import (
+    BrokenCallError,
+    ConnectError,
+    TargetCall,
+)
+from fuchsiafork.kernel import Clock, EventRing
+from fuchsiafork.membership import HOME
+from fuchsiafork.router.machine_body import REQUEST_ID
+from fuchsiafork.router.machine_steps import unsent
+from fuchsiafork.router.machine_types import CallTarget
+
+CONTROL_S = 2.0
+# As in the machine: half of the time for which a grant is fresh.
+_ASK_S = 1.0
+_ASK_AGAIN_S = 0.25
+_OK = 200
+
+
+class Correspondent(Protocol):
+    """Exchanges messages with the keepers."""
+
+    def ask(self, message: Any, destination: str, timeout_s: float) -> Any:
+        """Return the reply to a message, or None after the time-out."""
+
+    def tell(self, message: Any, destination: str) -> None:
+        """Send a message without waiting."""
+
+
+class EngineStream:
+    """
+    One open stream of an engine, with the slot that it holds.
+
+    A slot that is taken again has the request id of the first one, so that
+    its release at the end of the request ends the present one.
+    """
+
+    def __init__(
+        self,
+        correspondent: Correspondent,
+        clock: Clock,
+        events: EventRing,
+        command: CallTarget,
+        grant: tuple[messages.AcquireSlot, messages.SlotAcquired],
+    ) -> None:
+        """Control the stream that a command opened under a grant."""
+        self._correspondent = correspondent
+        self._clock = clock
+        self._events = events
+        self._command = command
+        self._wish, self._slot = grant
+
+    def pause(self) -> bool:
+        """
+        Return whether the engine keeps the stream without its connection.
+
+        The slot is given back then; otherwise nothing has changed.
+        """
+        if not self._control('pause') and not self._is_done():
+            return False
+        self._release(self._slot)
+        self._note('stream_paused')
+        return True
+
+    def give_slot_back(self) -> None:
+        """Give the slot of a stream back that the engine has ended."""
+        self._release(self._slot)
+
+    def resume(self, position: int) -> TargetCall:
+        """
+        Return the open rest of the stream from a token position on.
+
+        :raises BrokenCallError: if there is no slot on the same target in
+            time, or the engine cannot resume.
+        """
+        self._acquire()
+        try:
+            call = self._open(f'resume?from={position}')
+        except BrokenCallError as error:
+            self._note('resume_failed', reason=str(error))
+            raise
+        self._note('stream_resumed', position=position)
+        return call
+
+    def cancel(self) -> None:
+        """End a paused stream whose caller is gone."""
+        self._control('cancel')
+
+    def _acquire(self) -> None:
+        """
+        Take a slot on the target that holds the stream.
+
+        The other targets are excluded one by one as they are offered.
+
+        :raises BrokenCallError: if there is none before the deadline.
+        """
+        base = self._wish.exclude
+        wish = self._wish
+        while (remaining := self._command.deadline - self._clock.now()) > 0:
+            reply = self._correspondent.ask(
+                dataclasses.replace(wish, deadline_s=remaining),
+                HOME,
+                min(_ASK_S, remaining),
+            )
+            if isinstance(reply, messages.SlotRefused):
+                wish = dataclasses.replace(wish, exclude=base)
+                time.sleep(min(_ASK_AGAIN_S, remaining))
+            elif isinstance(reply, messages.SlotAcquired):
+                if reply.target == self._slot.target:
+                    return
+                self._release(reply)
+                excluded = (*wish.exclude, reply.target)
+                wish = dataclasses.replace(wish, exclude=excluded)
+        self._note('resume_failed', reason='no slot on the same target')
+        raise BrokenCallError('no slot on the target that holds the stream')
+
+    def _release(self, slot: messages.SlotAcquired) -> None:
+        """Give a slot back without an observation."""
+        self._correspondent.tell(
+            messages.ReleaseSlot(
+                request_id=slot.request_id,
+                route=slot.route,
+                group=self._wish.group,
+                target=slot.target,
+                version=slot.version,
+                owner=slot.owner,
+                observation=unsent(),
+            ),
+            HOME,
+        )
+
+    def _open(self, action: str) -> TargetCall:
+        """
+        Return the call of an action whose answer is the stream.
+
+        :raises BrokenCallError: unless the answer is this stream.
+        """
+        call = self._send('POST', f'/{action}', self._command.deadline)
+        own = call.headers.get(REQUEST_ID.lower()) == self._request_id
+        if call.status != _OK or not own:
+            status = call.status
+            call.close()
+            raise BrokenCallError(f'{action!r} answered {status}')
+        return call
+
+    def _control(self, action: str) -> bool:
+        """Return whether the engine carried out an action."""
+        try:
+            call = self._send('POST', f'/{action}', self._soon)
+        except BrokenCallError:
+            return False
+        done = call.status == _OK
+        call.close()
+        return done
+
+    def _is_done(self) -> bool:
+        """Return whether the engine has generated the whole answer."""
+        try:
+            call = self._send('GET', '', self._soon)
+            record = json.loads(call.read(65_536))
+        except (BrokenCallError, ValueError):
+            return False
+        call.close()
+        return isinstance(record, dict) and record.get('state') == 'done'
+
+    def _send(self, method: str, action: str, deadline: float) -> TargetCall:
+        """
+        Return a call about the stream whose head was read.
+
+        :raises BrokenCallError: if the engine does not answer.
+        """
+        call = TargetCall(self._command.url)
+        try:
+            call.connect()
+        except ConnectError as error:
+            raise BrokenCallError(str(error)) from None
+        call.send(
+            method,
+            f'/v1/requests/{self._request_id}{action}',
+            {REQUEST_ID: self._request_id},
+            b'',
+            max(0.0, deadline - self._clock.now()),
+        )
+        return call
+
+    @property
+    def _request_id(self) -> str:
+        """The id under which the engine knows the stream."""
+        return self._command.headers[REQUEST_ID]
+
+    @property
+    def _soon(self) -> float:
+        """Deadline of a call that is answered at once."""
+        return self._clock.now() + CONTROL_S
+
+    def _note(self, kind: str, **fields: Any) -> None:
+        """Record an event of this stream."""
+        self._events.record(
+            kind,
+            request_id=self._request_id,
+            target=self._slot.target,
+            **fields,
+        )
--- a/fuchsiafork/router/program.py
+++ b/fuchsiafork/router/program.py
@@ -33,6 +33,7 @@
 from fuchsiafork.router.node import RouterNode
 from fuchsiafork.router.retries import RetryBudget
 from fuchsiafork.router.server import CallerServer
+from fuchsiafork.router.stalls import StallLimit
 from fuchsiafork.settings import RouterSettings
 
 # Longer than the balancer takes to see that readiness is off.
@@ -67,6 +68,8 @@
             invariants=CountingInvariants(log),
         )
         self._settings = settings.router
+        # Half of the worker threads stay free for callers that read.
+        self.stalls = StallLimit(max(1, settings.router.threads // 2))
         self.application = Application(
             RequestIds(identity),
             Services(
@@ -79,7 +82,7 @@
             self._make_driver,
             self.metrics,
             settings.router.body_limit_bytes,
-            settings.router.write_deadline_s,
+            self.stalls,
         )
         self.node = RouterNode(self.context, self._apply)
         self.bridge = Bridge(
@@ -99,11 +102,9 @@
         )
         self._engines = EngineClient()
         self._server = CallerServer(
-            _split(settings.router.listen),
             self.application,
-            settings.router.threads,
-            settings.router.header_limit_bytes,
-            settings.router.body_limit_bytes,
+            settings.router,
+            clock,
         )
         self._admin = AdminServer(
             *_split(settings.router.admin),
@@ -185,6 +186,8 @@
             self._engines,
             caller,
             self.context.clock,
+            self.events,
+            self._settings.stream_buffer_bytes,
         )
 
     def _apply(self, directory: Directory) -> None:
--- a/fuchsiafork/router/server.py
+++ b/fuchsiafork/router/server.py
@@ -6,19 +6,30 @@
 
 from cheroot import wsgi
 
-from fuchsiafork.router.application import SOCKET_KEY, Application
+from fuchsiafork.kernel import Clock
+from fuchsiafork.router.application import WRITER_KEY, Application
+from fuchsiafork.router.connection import CallerConnection
+from fuchsiafork.settings.models import RouterSection
 
 ACCEPT_QUEUE = 128
 # A caller that sends nothing for this long frees its worker thread.
 READ_TIMEOUT_S = 10
 
 
+class _Server(wsgi.Server):
+    """Server that knows how long a caller may stand still."""
+
+    ConnectionClass = CallerConnection
+    clock: Clock
+    section: RouterSection
+
+
 class _Gateway(wsgi.WSGIGateway_10):
-    """Gives the application the socket of its caller."""
+    """Gives the application the write side of its caller."""
 
     def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
-        """Return the WSGI environment with the socket in it."""
-        return {**super().get_environ(), SOCKET_KEY: self.req.conn.socket}
+        """Return the WSGI environment with the writer in it."""
+        return {**super().get_environ(), WRITER_KEY: self.req.conn.wfile}
 
 
 class CallerServer:
@@ -26,23 +37,24 @@
 
     def __init__(
         self,
-        address: tuple[str, int],
         application: Application,
-        threads: int,
-        header_limit: int,
-        body_limit: int,
+        settings: RouterSection,
+        clock: Clock,
     ) -> None:
         """Listen on an address; port 0 takes a free one."""
-        self._server = wsgi.Server(
-            address,
+        host, _, port = settings.listen.rpartition(':')
+        self._server = _Server(
+            (host.strip('[]'), int(port)),
             application,
-            numthreads=threads,
+            numthreads=settings.threads,
             request_queue_size=ACCEPT_QUEUE,
             timeout=READ_TIMEOUT_S,
         )
         self._server.gateway = _Gateway
-        self._server.max_request_header_size = header_limit
-        self._server.max_request_body_size = body_limit
+        self._server.max_request_header_size = settings.header_limit_bytes
+        self._server.max_request_body_size = settings.body_limit_bytes
+        self._server.clock = clock
+        self._server.section = settings
 
     @property
     def port(self) -> int:
--- a/fuchsiafork/router/stream.py
+++ b/fuchsiafork/router/stream.py
@@ -7,8 +7,11 @@
 _EVENT_END = b'\n\n'
 _DATA = b'data:'
 _DONE = b'[DONE]'
+# A stream uses either of the two line ends.
+_EVENT_ENDS = (_EVENT_END, b'\r\n\r\n')
 # A longer event is not one of an engine's; the count then relies on usage.
-MAX_EVENT_BYTES = 262_144
+# An event is held in up to four copies, so this bounds a stream's memory.
+MAX_EVENT_BYTES = 65_536
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,6 +29,40 @@
     complete: bool = False
 
 
+class EventSplitter:
+    """
+    Cuts an event stream behind whole events.
+
+    Only a position between two events can be resumed from, so the start of
+    an event is held back until its end has come.
+
+    :ivar split: whether an event over the bound went out in parts.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing held back."""
+        self.split = False
+        self._rest = b''
+
+    def feed(self, piece: bytes) -> bytes:
+        """Return what may be passed on after a piece has come."""
+        joined = self._rest + piece
+        cut = max(
+            joined.rfind(end) + len(end) if end in joined else 0
+            for end in _EVENT_ENDS
+        )
+        if len(joined) - cut > MAX_EVENT_BYTES:
+            self.split = True
+            cut = len(joined)
+        self._rest = joined[cut:]
+        return joined[:cut]
+
+    def drain(self) -> bytes:
+        """Return what is held back, and hold it no more."""
+        rest, self._rest = self._rest, b''
+        return rest
+
+
 class EventStreamMeter:
     """Counts the tokens of a server-sent event stream as it passes."""
 
--- a/fuchsiafork/settings/models.py
+++ b/fuchsiafork/settings/models.py
@@ -112,11 +112,20 @@
         default=64 * 1024,
         description='Largest sum of request headers, bytes.',
     )
+    read_deadline_s: pydantic.PositiveFloat = pydantic.Field(
+        default=30,
+        description='Seconds in which a request must have come whole.',
+    )
     write_deadline_s: pydantic.PositiveFloat = pydantic.Field(
         default=60,
         description='Seconds without progress after which the connection '
         'of a slow caller is closed.',
     )
+    stall_s: pydantic.PositiveFloat = pydantic.Field(
+        default=5,
+        description='Seconds without progress after which the stream of a '
+        "slow caller is paused at its engine and the engine's slot given back.",
+    )
     drain_wait_s: pydantic.PositiveFloat = pydantic.Field(
         default=30,
         description='Seconds that a stopping router waits for its open '
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -22,8 +22,11 @@
 from standins.http_server import Call, Result, StandinServer, json_result
 
 BYTES_PER_TOKEN = 4
+SPARE_THREADS = 56
 
-_ENDED = frozenset((State.DONE, State.FAILED, State.CANCELLED))
+_STOPPED = frozenset(
+    (State.DONE, State.FAILED, State.CANCELLED, State.PAUSED),
+)
 _EVENT_STREAM = 'text/event-stream'
 
 
@@ -51,7 +54,12 @@
             version,
         )
         self.lock = threading.Lock()
-        self.server = StandinServer(self._handle, port)
+        # Each stream holds a thread, and so does each call about one.
+        threads = self.model.settings.capacity + SPARE_THREADS
+        self.server = StandinServer(self._handle, port, threads)
+        self.resumable = True
+        self._padding: dict[str, str] = {}
+        self._readers: dict[str, int] = {}
         self._routes = {
             ('POST', '/v1/chat/completions'): self._complete,
             ('GET', '/load'): self._load,
@@ -77,6 +85,9 @@
         try:
             with self.lock:
                 self.model.submit(_to_submission(request_id, body))
+                self._padding[request_id] = 'x' * int(
+                    body.get('standin_token_bytes', 0),
+                )
         except EngineError as error:
             return json_result({'error': str(error)}, 503, echo)
         if body.get('stream'):
@@ -102,12 +113,19 @@
 
     def _stream(self, request_id: str, start: int) -> Iterator[bytes]:
         """Yield the tokens from a position on as they are generated."""
+        with self.lock:
+            reader = self._readers.get(request_id, 0) + 1
+            self._readers[request_id] = reader
         try:
             yield from self._tokens(request_id, start)
         except GeneratorExit:
             with self.lock:
-                self.model.cancel(request_id)
+                # A stream that was paused or resumed has another reader.
+                if self._readers[request_id] == reader:
+                    self.model.cancel(request_id)
             raise
+        if self._readers[request_id] != reader:
+            return
         record = self.model.records[request_id]
         if record.state is not State.DONE:
             raise BrokenStreamError(request_id)
@@ -120,9 +138,11 @@
         while True:
             record = self._wait(request_id, sent)
             for index in range(sent, record.tokens):
-                yield _to_chunk(token_text(request_id, index))
+                yield _to_chunk(
+                    token_text(request_id, index) + self._padding[request_id],
+                )
             sent = record.tokens
-            if record.state in _ENDED:
+            if record.state in _STOPPED:
                 return
 
     def _wait(self, request_id: str, sent: int) -> Record:
@@ -134,7 +154,7 @@
                 if record is None:
                     raise BrokenStreamError(request_id)
                 news = 0 <= sent < record.tokens
-                if news or record.state in _ENDED:
+                if news or record.state in _STOPPED:
                     return record
             time.sleep(self.model.settings.step_s / 2)
 
@@ -212,6 +232,9 @@
         with self.lock:
             acts = {'pause': self.model.pause, 'cancel': self.model.cancel}
             done = action in acts and acts[action](request_id)
+            if done and action == 'pause':
+                self.model.counts['paused'] += 1
+                self._readers[request_id] = self._readers.get(request_id, 0) + 1
         return json_result({'done': done}, 200 if done else 409)
 
     def _resume(self, request_id: str, call: Call) -> Result:
@@ -219,13 +242,24 @@
         given = urllib.parse.parse_qs(call.query).get('from', ['0'])[0]
         try:
             with self.lock:
-                self.model.resume(request_id)
+                self._continue(request_id)
         except EngineError as error:
             return json_result({'error': str(error)}, 409)
         pieces = self._stream(request_id, int(given))
         echo = (('X-Request-Id', request_id),)
         return Result(200, pieces, _EVENT_STREAM, echo)
 
+    def _continue(self, request_id: str) -> None:
+        """
+        Put a paused stream back into the batch.
+
+        :raises EngineError: if the engine has not kept it.
+        """
+        if not self.resumable:
+            raise EngineError('the stream was dropped')
+        self.model.resume(request_id)
+        self.model.counts['resumed'] += 1
+
     def _record(self, request_id: str) -> Result:
         """Return what the engine knows of a request."""
         with self.lock:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -88,6 +88,7 @@
     vm: Vm,
     vms: Iterable[Vm],
     threads: int,
+    **more: str,
 ) -> dict[str, Any]:
     """Return the settings of a VM's router by section."""
     near = [
@@ -103,6 +104,7 @@
             'keepers': ' '.join([vm.keeper_links, *near]),
             'token': LINK_TOKEN,
             'threads': str(threads),
+            **more,
         },
     }
 
@@ -217,13 +219,19 @@
 class ProcessFleet:
     """The real programs as processes, with a store stand-in."""
 
-    def __init__(self, vms: list[Vm], threads: int = 32) -> None:
-        """Prepare settings files; nothing runs yet."""
+    def __init__(
+        self,
+        vms: list[Vm],
+        threads: int = 32,
+        **router: str,
+    ) -> None:
+        """Prepare settings files, ``router`` for the section of routers."""
         self.vms = vms
         self.store = StoreServer()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._folder = tempfile.TemporaryDirectory(prefix='fleet-')
         self._threads = threads
+        self._router = router
         self._pool = urllib3.PoolManager(retries=False, timeout=2)
 
     def start(self) -> None:
@@ -240,7 +248,12 @@
 
     def start_router(self, vm: Vm) -> None:
         """Start a VM's router."""
-        settings = router_settings(vm, self.vms, self._threads)
+        settings = router_settings(
+            vm,
+            self.vms,
+            self._threads,
+            **self._router,
+        )
         self._spawn('router', vm, settings)
 
     def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
