Fetch the router's configuration by parts, watch the head in one class

The router asked for the whole text at each change; it now asks by parts and keeps the parts it has, as the keepers do. HeadWatcher and PlatformWatch did the same; HeadWatcher is kept, as it goes on after its last revision when a watch breaks. Its thread is a daemon: before, a keeper that held the watch waited in its executor at the end until the head changed.

--- a/fuchsiafork/keeper/platform.py
+++ b/fuchsiafork/keeper/platform.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import concurrent.futures
+import threading
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from fuchsiafork.adapters.store import StoreClient
-from fuchsiafork.adapters.store_wire import StoreCallError
+from fuchsiafork.adapters.store_wire import WatchEvent
 from fuchsiafork.adapters.vm_list import VmListClient, VmListError, VmState
-from fuchsiafork.configuration import HEAD_KEY
+from fuchsiafork.configuration import HeadWatcher
 from fuchsiafork.keeper.composition import Systems
 from fuchsiafork.settings import StoreSettings, VmListSettings
 
@@ -21,6 +22,27 @@
 _Act = Callable[[Callable[[], None]], None]
 
 
+class _HeadWatches:
+    """Opens a client of its own for each watch, so that it can be closed."""
+
+    def __init__(self, settings: StoreSettings) -> None:
+        """Open nothing yet."""
+        self._settings = settings
+        self._client: StoreClient | None = None
+
+    def watch(self, key: str, from_revision: int) -> Iterator[WatchEvent]:
+        """Yield the writes to a key until the watch breaks or is closed."""
+        client = StoreClient(self._settings.urls, self._settings.timeout_s)
+        self._client = client
+        return client.watch(key, from_revision, idle_s=_WATCH_IDLE_S)
+
+    def close(self) -> None:
+        """End the open watch, if any, when it is next idle."""
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+
 class PlatformWatch:
     """Passes changes of the platform on to the systems."""
 
@@ -36,8 +58,9 @@
         self._store = store
         self._vm_list = vm_list
         self._act = act
+        self._reads_head = False
         self._threads = concurrent.futures.ThreadPoolExecutor(
-            2,
+            1,
             thread_name_prefix='platform',
         )
 
@@ -52,34 +75,32 @@
     async def _watch_head(self, stopped: Callable[[], bool]) -> None:
         """Hold a watch while it is this keeper's turn to read the head."""
         loop = asyncio.get_running_loop()
+        ended = threading.Event()
+        watches = _HeadWatches(self._store)
+
+        def changed(revision: int) -> None:
+            """Tell the loop of a change that the thread has seen."""
+            loop.call_soon_threadsafe(self._tell_head, revision)
+
+        watcher = HeadWatcher(
+            watches,
+            wanted=lambda: self._reads_head,
+            changed=changed,
+            stopped=ended,
+        )
+        # A waiting watch cannot be interrupted, so nobody joins the thread.
+        threading.Thread(
+            target=watcher.run,
+            name='head-watch',
+            daemon=True,
+        ).start()
         while not stopped():
-            if self._systems.configuration.reads_head:
-                await loop.run_in_executor(
-                    self._threads,
-                    self._watch_once,
-                    loop,
-                    stopped,
-                )
+            self._reads_head = self._systems.configuration.reads_head
+            if not self._reads_head:
+                watches.close()
             await asyncio.sleep(_TURN_INTERVAL_S)
-
-    def _watch_once(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        stopped: Callable[[], bool],
-    ) -> None:
-        """Pass on changes of the head until the watch ends."""
-        client = StoreClient(self._store.urls, self._store.timeout_s)
-        events = client.watch(HEAD_KEY, 0, idle_s=_WATCH_IDLE_S)
-        try:
-            for event in events:
-                if stopped() or not self._systems.configuration.reads_head:
-                    break
-                loop.call_soon_threadsafe(self._tell_head, event.revision)
-        except StoreCallError:
-            # The periodic read of the head goes on without a watch.
-            return
-        finally:
-            client.close()
+        ended.set()
+        watches.close()
 
     def _tell_head(self, revision: int) -> None:
         """Tell the configuration that the head has changed."""
--- a/fuchsiafork/router/configuration.py
+++ b/fuchsiafork/router/configuration.py
@@ -38,11 +38,7 @@
     @handle.register
     def _(self, message: messages.ConfigurationDocument, sender: str) -> None:
         try:
-            adopted = self.copy.adopt(
-                message.revision,
-                message.digest,
-                message.text,
-            )
+            adopted = self.copy.take(message)
         except FuchsiaforkError as error:
             self._context.events.record(
                 'configuration_invalid',
@@ -72,7 +68,7 @@
         """Ask the keeper for a newer revision."""
         self._context.outbox.send(
             KEEPER,
-            messages.FetchConfiguration(self.copy.revision),
+            messages.FetchConfiguration(self.copy.revision, by_parts=True),
         )
 
     def _index(self, document: Document) -> None:
