Serve a request with money that comes before its refusal

Ruled out: a lost or late transfer; the money was the holder's own. Change: a waiting request is served until it is refused, at most 0.1 s after the end of its wait.

--- a/fuchsiafork/budgets/queue.py
+++ b/fuchsiafork/budgets/queue.py
@@ -11,6 +11,9 @@
 
 VALID_S = 5.0
 WAIT_S = 1.0
+# A request that is due for refusal at the next tick is still served by what
+# is settled before that tick.
+LATE_S = 0.1
 QUEUE_BOUND = 256
 
 
@@ -53,7 +56,8 @@
         for name, row in list(tables.waiting.items()):
             message = row.message
             fits = message.tokens <= tables.available(message.budget, now)
-            if not fits or not self._may_serve(row) or now >= row.until:
+            late = now >= row.until + LATE_S
+            if late or not fits or not self._may_serve(row):
                 continue
             tables.waiting.pop(name)
             held = Reservation(
--- a/tests/test_budgets_money.py
+++ b/tests/test_budgets_money.py
@@ -100,6 +100,25 @@
             keeper.receive(late, 'a-9/router', 'a-0/keeper')
         self.assertEqual((state.reserved, state.unwritten), (0, 50))
 
+    def test_money_that_comes_before_the_refusal_is_used(self) -> None:
+        """Guards against a request refused beside money of its holder."""
+        self.demand(1)
+        self.fleet.run(5)
+        keeper = self.fleet.keepers['a-0']
+        tables = keeper.holder.tables
+        state = tables.budgets['x']
+        state.reserved += state.available(tables.holder)
+        for name in ('in time', 'too late'):
+            ask = messages.Reserve(name, 'x', 'acc', 50, 2, 'a-1')
+            keeper.receive(ask, 'a-9/router', 'a-0/keeper')
+        state.reserved -= 50
+        for wait in (1.05, 0.1):
+            self.fleet.clock.advance(wait)
+            keeper.holder._queue.serve()
+            state.reserved -= 50
+        self.assertIn('in time', tables.reservations)
+        self.assertNotIn('too late', tables.reservations)
+
     def test_second_holders_cancel_is_no_settlement(self) -> None:
         """Guards against a bill lost when two holders reserved for it."""
         self.demand(1)
