--- a/measurements/capacity_relay.py
+++ b/measurements/capacity_relay.py
@@ -13,6 +13,7 @@
 from fuchsiafork.kernel import SystemClock
 from fuchsiafork.router.caller import Caller
 from fuchsiafork.router.machine_types import RelayStream
+from fuchsiafork.router.stalls import StallLimit
 from fuchsiafork.router.relay import PIECE_BYTES, Relay
 from measurements.capacity_fit import Series, measure
 
@@ -131,11 +132,23 @@
         drain=False,
         deadline=clock.now() + _TIMEOUT_S,
     )
-    caller = Caller(start_response, None, _TIMEOUT_S)
-    Relay(call, caller, clock, command, clock.now()).run()
+    caller = Caller(start_response, None, StallLimit(1), _ignore)
+    Relay(
+        call,
+        caller,
+        clock,
+        command,
+        clock.now(),
+        None,
+        PIECE_BYTES,
+    ).run()
     call.close()
 
 
+def _ignore(*args: Any, **fields: Any) -> None:
+    """Take no note of a stall."""
+
+
 def _bare(url: str, path: str, start_response: Any) -> None:
     """Relay with urllib3 and cheroot alone."""
     pool = urllib3.PoolManager(retries=False, timeout=_TIMEOUT_S)
