Answer heartbeats of other failure domains only

Cause: the idle_bytes slope showed that each heartbeat was acknowledged, also between keepers of one domain, where both sides send heartbeats anyway.

Change: MembershipSystem acknowledges a heartbeat only when it came from another failure domain, whose keepers may have chosen other gateways.

--- a/fuchsiafork/membership/system.py
+++ b/fuchsiafork/membership/system.py
@@ -95,10 +95,8 @@
             verdicts=message.verdicts,
             admins=message.admins,
         )
-        self._context.outbox.send(
-            message.node,
-            messages.HeartbeatAck(self._context.identity.node, message.stamp),
-        )
+        if message.domain != self._context.identity.domain:
+            self._acknowledge(message)
 
     @handle.register
     def _(self, message: messages.HeartbeatAck, sender: str) -> None:
@@ -225,6 +223,17 @@
                 return member.node
         return ''
 
+    def _acknowledge(self, beat: messages.Heartbeat) -> None:
+        """
+        Answer a heartbeat of another failure domain.
+
+        Inside a domain every keeper sends heartbeats to every other one, so
+        answers would only double the messages.
+        """
+        own = self._context.identity.node
+        ack = messages.HeartbeatAck(own, beat.stamp)
+        self._context.outbox.send(beat.node, ack)
+
     def _forget_lost(self, now: float) -> None:
         """Drop members that have been silent for long."""
         horizon = now - FORGET_AFTER_S
--- a/measurements/capacity_idle.py
+++ b/measurements/capacity_idle.py
@@ -1,5 +1,6 @@
 """Processor time of a keeper without requests, in a full failure domain."""
 
+import itertools
 import time
 from collections.abc import Iterator
 
@@ -24,10 +25,9 @@
         super().__init__(members)
         own = self.context.identity.node
         self._members = members
-        self._frames = (
-            encode(_PEER, own, _STAMP, heartbeat()),
-            encode(_PEER, own, _STAMP, HeartbeatAck(_PEER, 1.5)),
-        )
+        self._acknowledged = 0
+        self._beat = encode(_PEER, own, _STAMP, heartbeat())
+        self._ack = encode(_PEER, own, _STAMP, HeartbeatAck(_PEER, 1.5))
 
     def second(self) -> float:
         """Return the processor seconds of one second."""
@@ -41,12 +41,14 @@
         return time.process_time() - started
 
     def _receive(self) -> None:
-        """Take a heartbeat and an acknowledgement of each peer."""
+        """Take each peer's heartbeat, and as many answers as this gave."""
         own = self.context.identity.node
-        for _ in range(self._members):
-            for frame in self._frames:
-                envelope = decode(frame)
-                self.node.receive(envelope.message, envelope.sender, own)
+        answers, self._acknowledged = self._acknowledged, 0
+        beats = itertools.repeat(self._beat, self._members)
+        acks = itertools.repeat(self._ack, answers)
+        for frame in itertools.chain(beats, acks):
+            envelope = decode(frame)
+            self.node.receive(envelope.message, envelope.sender, own)
             self._send()
 
     def _send(self) -> None:
@@ -55,6 +57,7 @@
         own = self.context.identity.node
         for send in sends:
             encode(own, send.destination, _STAMP, send.message)
+            self._acknowledged += isinstance(send.message, HeartbeatAck)
 
 
 def idle_series() -> Iterator[Series]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,11 +1,14 @@
 """Tests of the fit and of the sums on the capacity page."""
 
+import dataclasses
 import unittest
 
+from fuchsiafork.messages import HeartbeatAck
 from measurements import capacity_page, capacity_rows
 from measurements.capacity_fit import Series, fit
 from measurements.capacity_nodes import LoneKeeper
 from measurements.capacity_sums import sums
+from measurements.capacity_time import heartbeat
 
 
 class TestFit(unittest.TestCase):
@@ -77,3 +80,19 @@
         for _ in range(10):
             keeper.step()
         self.assertEqual(keeper.sent['Heartbeat'], 5 * 2)
+
+    def test_only_other_domains_get_answers(self) -> None:
+        """Guards against an answer to every heartbeat of the own domain."""
+        keeper = LoneKeeper(2)
+        own = keeper.context.identity.node
+        near = heartbeat()
+        far = dataclasses.replace(near, node='b-1/keeper', domain='delta-b')
+        for beat in (near, far):
+            keeper.node.receive(beat, beat.node, own)
+        sends, _ = keeper.context.outbox.drain()
+        answered = [
+            send.destination
+            for send in sends
+            if isinstance(send.message, HeartbeatAck)
+        ]
+        self.assertEqual(answered, ['b-1/keeper'])
