--- a/measurements/capacity_sums_ledger.py
+++ b/measurements/capacity_sums_ledger.py
@@ -50,7 +50,7 @@
             every,
             size.VALUE_BYTES,
             'B',
-            'the same x 54,375 budgets',
+            'the same with record_budget x 54,375',
             'budgets without grants take 23 B; a grant only where there is '
             'demand',
         ),
@@ -73,7 +73,7 @@
             size.STORE_WRITES_S,
             '/s',
             'load_swaps x 2,000 (12 holders; more collide more)',
-            'the same journal',
+            'a journal a holder, as above',
         ),
         Row(
             'ledger',
@@ -81,7 +81,7 @@
             active * dirty,
             size.CONTROL_BYTES_S,
             'B/s and node',
-            '4.7 records/s x the record of 41,000 accounts',
+            '4.7 records/s x (record_budget and others, as above)',
             'the journal holds 56 settlements of some 48 B: 270 B/s',
         ),
         Row(
@@ -119,7 +119,7 @@
             read_bytes,
             size.CONTROL_BYTES_S,
             'B/s and node',
-            '16 records / 5 s',
+            '16 records (record_budget and others, as above) / 5 s',
             'a read of the revision alone when nothing changed; with the '
             'journal, budget records change rarely',
         ),
@@ -140,8 +140,8 @@
             record_size(slopes, size.ACCOUNTS / size.SHARDS, keys),
             size.VALUE_BYTES,
             'B',
-            'as the record, with 75,000 keys',
-            'the same',
+            'as the record, with record_key x 75,000',
+            'keys in the journals',
         ),
         Row(
             'ledger',
--- a/measurements/capacity_sums_memory.py
+++ b/measurements/capacity_sums_memory.py
@@ -84,7 +84,8 @@
             fixed + bindings + _KEPT_ANSWERS + active,
             size.CONTROL_BYTES,
             'B',
-            'programs + keys + answers (64 MiB) + active accounts',
+            'keeper_memory + state_binding + 64 MiB of answers + '
+            'state_budget and state_grant, as above',
             'as the rows above',
         ),
     ]
