Guard the share of an empty budget without demand

Cause: a budget with nothing unspent and no forecast divided by the sum of its forecasts, 0, when its domain's first holder wrote the record. Change: the divisor is at least 1.

--- a/fuchsiafork/budgets/writes.py
+++ b/fuchsiafork/budgets/writes.py
@@ -176,12 +176,7 @@
             grants[holder] = tokens
 
 
-def _share(
-    record: ledger.Record,
-    row: ledger.BudgetRow,
-    holder: str,
-    want: Want,
-) -> int:
+def _share(record: ledger.Record, row: ledger.BudgetRow, want: Want) -> int:
     """
     Return a holder's share of what is unspent.
 
@@ -193,7 +188,7 @@
     total = sum(row.rates.values())
     surplus = unspent - total * HORIZON_S
     if surplus <= 0:
-        return unspent * want.rate // total
+        return unspent * want.rate // max(1, total)
     domains = {
         record.holders[name].domain
         for name in row.rates
@@ -217,7 +212,7 @@
     row.rates[holder] = want.rate
     if not want.rate and not want.base:
         row.rates.pop(holder)
-    share = _share(record, row, holder, want)
+    share = _share(record, row, want)
     goal = max(want.least, want.need, share)
     if grant < goal:
         grant += max(0, min(goal - grant, row.free))
--- a/tests/test_budgets_ledger.py
+++ b/tests/test_budgets_ledger.py
@@ -80,6 +80,13 @@
 class TestWrites(unittest.TestCase):
     """What a holder's write does."""
 
+    def test_empty_budget_without_demand(self) -> None:
+        """Guards against a division by the sum of no forecasts."""
+        write = HolderWrite(GIVER, 'a', 1, 1000, openings={'x': 0})
+        write.wants['x'] = Want(0, 0, 0, base=True)
+        record = apply_write(budgets.Record(), write)
+        self.assertEqual(record.budgets['x'].grants, {})
+
     def test_record_survives_its_codec(self) -> None:
         """Guards against a field lost in the store."""
         write = HolderWrite(GIVER, 'a', 2, 1000)
