Ask the richest holders first at each new shortage

Cause: the rotation over the holders went on where the last shortage had ended. With 59 holders to ask, 2 each 0.05 s, a round takes 1.5 s, longer than a request waits: one was refused beside 1.8 million tokens (trial with 60 keepers, traced). Ruled out: a stale list of holders; the record had been read 5 ms before.

--- a/fuchsiafork/budgets/transfers.py
+++ b/fuchsiafork/budgets/transfers.py
@@ -74,6 +74,9 @@
         for budget, tokens in self._least_needs().items():
             state = self._tables.budget(budget, now)
             short = tokens - state.available(self._tables.holder)
+            if now - state.last_ask > STANDING_S:
+                # A new shortage: the richest holders are asked first again.
+                state.asked = 0
             if short > 0 and now - state.last_ask >= ASK_INTERVAL_S:
                 state.last_ask = now
                 self._ask(budget, short, self._givers(budget, domains, live))
--- a/tests/test_budgets_money.py
+++ b/tests/test_budgets_money.py
@@ -48,6 +48,26 @@
             desk.give(messages.AskTransfer(name, 'x', receiver, tokens))
         self.assertEqual(list(tables.transfers), ['part'])
 
+    def test_new_shortage_asks_the_richest_first(self) -> None:
+        """Guards against a wait that ends before the richest is asked."""
+        self.demand(1)
+        self.fleet.run(5)
+        keeper = self.fleet.keepers['a-0']
+        tables = keeper.holder.tables
+        state = tables.budgets['x']
+        state.reserved += state.available(tables.holder)
+        ask = messages.Reserve('r', 'x', 'acc', 66, 1, 'a-1')
+        tables.waiting['r'] = Waiting(ask, 'a-1/router', 1e9)
+        grants = dict(state.shard.record.budgets['x'].grants)
+        grants.pop(tables.holder, None)
+        richest = max(grants, key=lambda name: grants[name])
+        live = set(keeper.membership.live())
+        state.asked = 3
+        keeper.outbox.drain()
+        keeper.holder._desk.tick(set(keeper.membership.domains()), live)
+        sends, _ = keeper.outbox.drain()
+        self.assertEqual(sends[0].destination, richest.partition('#')[0])
+
     def test_lost_transfers_strand_money_and_never_double_it(self) -> None:
         """Guards against a transfer lost, or credited twice."""
         self.fleet.network.faults.drop = 0.3
