--- a/measurements/capacity_relay.py
+++ b/measurements/capacity_relay.py
@@ -13,8 +13,8 @@
 from fuchsiafork.kernel import SystemClock
 from fuchsiafork.router.caller import Caller
 from fuchsiafork.router.machine_types import RelayStream
-from fuchsiafork.router.stalls import StallLimit
 from fuchsiafork.router.relay import PIECE_BYTES, Relay
+from fuchsiafork.router.stalls import StallLimit
 from measurements.capacity_fit import Series, measure
 
 SIZES = (100, 200, 400)
