Close links whose other side does not answer pings

Cause: a paused keeper keeps its connections open, and a router uses its own VM's keeper as long as that link is open. Only the library's default of 20 s plus 20 s would have closed it. Ruled out: the membership and the homes; the other keepers moved on after 2 s, and only the VM of the paused keeper had no answers. Change: the dialer pings each second and closes after 2 s without an answer; keepers ping each other every 10 s, as their heartbeats show who is live.

--- a/fuchsiafork/keeper/program.py
+++ b/fuchsiafork/keeper/program.py
@@ -37,6 +37,9 @@
 # Bound of the time in which routers end their requests and move away.
 ROUTERS_WAIT_S = 30.0
 HANDBACK_WAIT_S = 5.0
+# Heartbeats show which keepers are live; pings only find links whose
+# connection did not survive a partition.
+PEER_PING_INTERVAL_S = 10.0
 _STEP_S = 0.1
 
 
@@ -148,7 +151,11 @@
         server = LinkServer(self.hub)
         host, port = _split(self._settings.listen)
         await server.start(host, port)
-        dialer = Dialer(self.hub, random.Random(secrets.randbits(64)))
+        dialer = Dialer(
+            self.hub,
+            random.Random(secrets.randbits(64)),
+            PEER_PING_INTERVAL_S,
+        )
         self.hub.changed = self._note_links
         self._note_links()
         self._admin.start()
--- a/fuchsiafork/links/dialer.py
+++ b/fuchsiafork/links/dialer.py
@@ -13,6 +13,12 @@
 FIRST_DELAY_S = 0.1
 LAST_DELAY_S = 2.0
 OPEN_TIMEOUT_S = 2.0
+# A paused process keeps its connections open. The time-out is that of a
+# silent keeper in the membership; a shorter one closes links of busy ones.
+PING_INTERVAL_S = 1.0
+PING_TIMEOUT_S = 2.0
+# The other side of a silent link does not confirm the close either.
+CLOSE_TIMEOUT_S = 0.5
 
 _FAILURES = (OSError, WebSocketException, FuchsiaforkError, TimeoutError)
 
@@ -20,9 +26,15 @@
 class Dialer:
     """Keeps a link open to each wanted address."""
 
-    def __init__(self, hub: LinkHub, chance: random.Random) -> None:
-        """Open links for the hub."""
+    def __init__(
+        self,
+        hub: LinkHub,
+        chance: random.Random,
+        ping_interval_s: float = PING_INTERVAL_S,
+    ) -> None:
+        """Open links for the hub and close those that are silent."""
         self._hub = hub
+        self._ping_interval_s = ping_interval_s
         self._chance = chance
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -57,6 +69,9 @@
                     compression=None,
                     max_size=MAX_FRAME_BYTES,
                     open_timeout=OPEN_TIMEOUT_S,
+                    ping_interval=self._ping_interval_s,
+                    ping_timeout=PING_TIMEOUT_S,
+                    close_timeout=CLOSE_TIMEOUT_S,
                     proxy=None,
                 ) as connection:
                     delay = FIRST_DELAY_S
