Choose ports of fleets below those of outgoing connections

Cause (likely, the log was not kept): one of 28 ports of a fleet was taken by an outgoing connection between its choice and its use, and a router was not ready in 20 s, once in about ten starts of seven VMs. Change: ports from 10000 to 31999; the system's own begin at 32768.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -10,16 +10,16 @@
 import hashlib
 import pathlib
 import signal
-import socket
 import subprocess  # ruff: ignore[suspicious-subprocess-import]
 import sys
 import tempfile
 import time
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, ClassVar
 
 import urllib3
 
+from standins.addresses import free_address
 from standins.engine_server import EngineServer
 from standins.engine_types import EngineSettings
 from standins.service_server import ServiceServer
@@ -46,13 +46,6 @@
         return f'http://{self.callers}'
 
 
-def free_address() -> str:
-    """Return a loopback address with a free port."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 def make_vms(domains: Iterable[str], per_domain: int) -> list[Vm]:
     """Return VMs with free addresses."""
     return [
@@ -217,6 +210,10 @@
 class ProcessFleet:
     """The real programs as processes, with a store stand-in."""
 
+    modules: ClassVar = {
+        name: f'fuchsiafork.{name}' for name in ('keeper', 'router')
+    }
+
     def __init__(self, vms: list[Vm], threads: int = 32) -> None:
         """Prepare settings files; nothing runs yet."""
         self.vms = vms
@@ -240,8 +237,7 @@
 
     def start_router(self, vm: Vm) -> None:
         """Start a VM's router."""
-        settings = router_settings(vm, self.vms, self._threads)
-        self._spawn('router', vm, settings)
+        self._spawn('router', vm, router_settings(vm, self.vms, self._threads))
 
     def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """
@@ -263,8 +259,7 @@
 
     def log(self, vm: Vm, program: str) -> str:
         """Return what a program has written so far."""
-        path = self._path(vm, program, 'log')
-        return path.read_text(encoding='utf-8')
+        return self._path(vm, program, 'log').read_text(encoding='utf-8')
 
     def stop(self) -> None:
         """End all processes that are left."""
@@ -281,7 +276,7 @@
         write_ini(path, settings)
         with self._path(vm, program, 'log').open('ab') as log:
             self.processes[f'{vm.name}/{program}'] = subprocess.Popen(  # ruff: ignore[subprocess-without-shell-equals-true]
-                [sys.executable, '-m', f'fuchsiafork.{program}', str(path)],
+                [sys.executable, '-m', self.modules[program], str(path)],
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
