--- a/tests/test_process_outage.py
+++ b/tests/test_process_outage.py
@@ -18,6 +18,8 @@
 # Longer than the lease of 5 s.
 OUTAGE_S = 7.0
 IN_FORCE_S = 5.0
+# 1.5 s to be seen leaving, 5 s to hand money back, 2 s of a store call.
+END_S = 10.0
 # Start of a process and the first answer of a peer.
 RESTART_S = 6.0
 # A claim's removal and a write are tried again at growing intervals.
@@ -281,3 +283,15 @@
         """Guards against money that is spent twice or not billed."""
         self.check_money(self.paid_orders())
         self.check_targets()
+
+    def test_watching_keeper_ends(self) -> None:
+        """Guards against a watch on the head that outlives its program."""
+        # The last test by name, as it ends a whole failure domain.
+        vms = [self.vm('b-1'), self.vm('b-2')]
+        for vm in vms:
+            self.fleet.signal(vm, 'router', signal.SIGKILL)
+        for vm in vms:
+            self.fleet.signal(vm, 'keeper', signal.SIGTERM)
+        for vm in vms:
+            process = self.fleet.processes[f'{vm.name}/keeper']
+            self.assertEqual(process.wait(END_S), 0)
--- a/tests/test_process_pages.py
+++ b/tests/test_process_pages.py
@@ -24,9 +24,7 @@
         page = (_DOCS / 'metrics.md').read_text(encoding='utf-8')
         router, _, keeper = page.partition('## Keeper')
         systems = make_systems(make_context(), '127.0.0.1:1')
-        registry = KeeperMetrics(
-            systems.gauges, LinkCounters(), dict
-        ).registry
+        registry = KeeperMetrics(systems.gauges, LinkCounters(), dict).registry
         for text, found in (
             (router, RouterMetrics().registry),
             (keeper, registry),
