--- a/measurements/capacity_relay.py
+++ b/measurements/capacity_relay.py
@@ -13,13 +13,14 @@
 from fuchsiafork.kernel import SystemClock
 from fuchsiafork.router.caller import Caller
 from fuchsiafork.router.machine_types import RelayStream
-from fuchsiafork.router.relay import PIECE_BYTES, Relay
+from fuchsiafork.router.relay import Relay
 from fuchsiafork.router.stalls import StallLimit
 from measurements.capacity_fit import Series, measure
 
 SIZES = (100, 200, 400)
 REPEATS = 3
 _GAP_S = 0.0005
+PIECE_BYTES = 65_536
 _TIMEOUT_S = 20.0
 _HEAD = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
