Stream tokens of requests without padding

Cause: the stand-in looked up the padding of a request that had none. Change: no padding is an empty one. Conclusion: the check of skipped tokens runs again.

--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -159,7 +159,7 @@
             known = record.tokens
             for index in range(sent, known):
                 yield _to_chunk(
-                    token_text(request_id, index) + self._padding[request_id],
+                    token_text(request_id, index) + self._padding.get(request_id, "")
                 )
             sent = known
             if ended:
