Hit the keepers that hold the most money in the test of deaths

Change: the victim of each domain is the keeper with the largest grants. The check itself is unchanged.

--- a/tests/test_process_deaths.py
+++ b/tests/test_process_deaths.py
@@ -7,7 +7,7 @@
 
 from fuchsiafork.budgets.ledger import check_record
 from standins.fault_load import read_records
-from standins.fleet import ProcessFleet, make_vms
+from standins.fleet import ProcessFleet, Vm, make_vms
 from tests.test_process_common import FaultCase, grants_of
 
 # Lease of 5 s, quarantine of 10 s, and the time of the close-out itself.
@@ -25,6 +25,7 @@
 
     before: ClassVar[dict[str, dict[str, int]]]
     closed: ClassVar[set[str]]
+    hit: ClassVar[list[Vm]]
     hit_at: ClassVar[float]
     resumed_at: ClassVar[float]
 
@@ -35,7 +36,9 @@
         cls.start(ProcessFleet(vms), {'bakers': 2_000_000, 'kiosk': 6_000})
         cls.load.start()
         time.sleep(3)
-        paused, killed, lost = cls.vm('a-1'), cls.vm('b-1'), cls.vm('c-1')
+        paused, killed, lost = cls.hit = [
+            cls.richest(domain) for domain in ('a', 'b', 'c')
+        ]
         cls.before = {
             vm.name: grants_of(cls.fleet, f'{vm.name}/keeper')
             for vm in (paused, killed, lost)
@@ -54,6 +57,17 @@
         time.sleep(3)
         cls.load.stop()
 
+    @classmethod
+    def richest(cls, domain: str) -> Vm:
+        """Return the VM of a domain whose keeper holds the most money."""
+        vms = [vm for vm in cls.fleet.vms if vm.domain == domain]
+        return max(
+            vms,
+            key=lambda vm: sum(
+                grants_of(cls.fleet, f'{vm.name}/keeper').values()
+            ),
+        )
+
     @classmethod
     def closed_now(cls) -> set[str]:
         """Return the holders that are closed out."""
@@ -96,8 +110,8 @@
 
     def test_paused_holder_stops_before_it_goes_on(self) -> None:
         """Guards against a holder that spends before it was checked."""
-        self.assertLessEqual(set(self.before['a-1']), self.closed)
-        log = self.fleet.log(self.vm('a-1'), 'keeper')
+        self.assertLessEqual(set(self.before[self.hit[0].name]), self.closed)
+        log = self.fleet.log(self.hit[0], 'keeper')
         self.assertLess(
             log.index('event=holder_paused'),
             log.index('event=holder_closed_out'),
@@ -107,7 +121,7 @@
         """Guards against a VM that is left without keeper or targets."""
         again: dict[str, float] = {}
         for vm in self.fleet.vms:
-            if vm.name == 'c-1':
+            if vm is self.hit[2]:
                 continue
             times = sorted(one.at for one in self.load.answered(vm.name))
             # What was in flight when the faults came ends within 2 s.
