Measure slow readers; see a stall on sockets with a time-out

Cause: the server's sockets have a time-out, and Python waits for room inside of send() on them even with MSG_DONTWAIT, so the writer saw no stall: the measurement counted 0 paused streams of 50 stopped readers. The engine stand-in skipped tokens that another thread added while it was sending: quick answers came without some of their tokens.

Change: the writer asks for room before it sends; the relay's test gives its socket a time-out as the server does.

--- a/fuchsiafork/router/writer.py
+++ b/fuchsiafork/router/writer.py
@@ -99,6 +99,9 @@
 
     def _send(self, rest: memoryview) -> int:
         """Return how many bytes the kernel took."""
+        # A socket with a time-out would wait inside of ``send``.
+        if not self._poll.poll(0):
+            return 0
         try:
             return self._sock.send(rest, socket.MSG_DONTWAIT)
         except BlockingIOError:
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -137,12 +137,14 @@
         sent = start
         while True:
             record = self._wait(request_id, sent)
-            for index in range(sent, record.tokens):
+            # Another thread may add tokens while these are being sent.
+            state, until = record.state, record.tokens
+            for index in range(sent, until):
                 yield _to_chunk(
                     token_text(request_id, index) + self._padding[request_id],
                 )
-            sent = record.tokens
-            if record.state in _STOPPED:
+            sent = until
+            if state in _STOPPED:
                 return
 
     def _wait(self, request_id: str, sent: int) -> Record:
--- a/tests/test_relay_stalls.py
+++ b/tests/test_relay_stalls.py
@@ -78,6 +78,8 @@
         clock = SystemClock()
         self.events = EventRing(HybridClock('a-1/router', clock))
         self.socket, own = connected_pair()
+        # As the server's sockets have; a send must not wait for it.
+        own.settimeout(10)
         writer = CallerWriter(own, clock, STALL_S, write_deadline_s)
         caller = Caller(
             lambda status, headers: writer.write,
