--- a/fuchsiafork/router/program.py
+++ b/fuchsiafork/router/program.py
@@ -1,5 +1,6 @@
 """Composes a router process and runs it until it is told to stop."""
 
+import os
 import random
 import secrets
 import signal
@@ -171,13 +172,20 @@
         if not self._stop.is_set():
             self._stop.set()
             return
+        # The interrupted code may hold the lock of the events or of the log.
+        threading.Thread(target=self._cut_off).start()
+
+    def _cut_off(self) -> None:
+        """Name the open requests and end the process at once."""
         for request_id, path in self.application.open_requests.items():
             self.events.record(
                 'request_cut_off',
                 request_id=request_id,
                 path=path,
             )
-        sys.exit(1)
+        sys.stdout.flush()
+        # An ordinary exit would wait for the threads that serve requests.
+        os._exit(1)
 
     def _make_driver(self, caller: Caller) -> Driver:
         """Return the driver of one request."""
