--- a/fuchsiafork/budgets/holder.py
+++ b/fuchsiafork/budgets/holder.py
@@ -98,6 +98,11 @@
         """Whether the ledger, as last seen, has a grant of this holder."""
         return any(map(self.tables.has_grant, self.tables.shards.values()))
 
+    def is_busy(self) -> bool:
+        """Return whether requests hold, or wait for, money of this holder."""
+        tables = self.tables
+        return bool(tables.reservations or tables.waiting or tables.pending)
+
     def hand_back(self) -> None:
         """Return all money that is not promised, at the next writes."""
         self.sync.composer.leaving = True
--- a/fuchsiafork/keeper/program.py
+++ b/fuchsiafork/keeper/program.py
@@ -38,8 +38,8 @@
 
 # Time for peers and routers to see that this keeper is leaving.
 LEAVE_WAIT_S = 1.5
-# Bound of the time in which routers end their requests and move away.
-ROUTERS_WAIT_S = 30.0
+# Bound of the time in which requests that hold reservations here end.
+REQUESTS_WAIT_S = 30.0
 HANDBACK_WAIT_S = 5.0
 # Heartbeats show which keepers are live; pings only find links whose
 # connection did not survive a partition.
@@ -194,9 +194,10 @@
         membership.leaving = True
         self.events.record('keeper_leaving')
         await asyncio.sleep(LEAVE_WAIT_S)
+        # Routers stay linked, but turn to other keepers for new requests.
         await self._wait_while(
-            lambda: bool(membership.local_routers),
-            ROUTERS_WAIT_S,
+            self.systems.holder.is_busy,
+            REQUESTS_WAIT_S,
         )
         self.systems.hand_back()
         await self._wait_while(self.systems.holds_money, HANDBACK_WAIT_S)
