--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,11 @@
 	$(BIN)/ruff check --fix $(SOURCES)
 	$(BIN)/ruff format $(SOURCES)
 
+fleet: $(STAMP)
+	$(BIN)/python -m standins.run_fleet
+
+docs: $(STAMP)
+	$(BIN)/python -m fuchsiafork.settings.reference
+
 clean:
 	rm -rf $(VENV)
