--- a/fuchsiafork/keeper/program.py
+++ b/fuchsiafork/keeper/program.py
@@ -7,6 +7,7 @@
 import signal
 import threading
 from collections.abc import Callable
+from types import FrameType
 from typing import Any
 
 from fuchsiafork.adapters.engine import EngineClient
@@ -34,7 +35,7 @@
 from fuchsiafork.observability.admin import AdminServer, Probe
 from fuchsiafork.observability.logs import event_logger
 from fuchsiafork.rollouts.loading import ENGINES
-from fuchsiafork.settings import KeeperSettings
+from fuchsiafork.settings import KeeperSettings, split_address
 
 # Time for peers and routers to see that this keeper is leaving.
 LEAVE_WAIT_S = 1.5
@@ -110,7 +111,7 @@
             lambda: dict(self.context.invariants.violations),
         )
         self._admin = AdminServer(
-            *_split(section.admin),
+            *split_address(section.admin),
             Probe(
                 ready=self._is_ready,
                 status=self._status,
@@ -134,10 +135,10 @@
 
     def run(self) -> int:
         """Serve until SIGTERM or SIGINT and return the exit status."""
-        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
-        signal.signal(signal.SIGINT, lambda *_: self._stop.set())
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
         asyncio.run(self.serve())
-        return 0
+        return 1 if self._abandon else 0
 
     def start(self) -> None:
         """Serve in a thread of its own."""
@@ -160,7 +161,7 @@
     async def serve(self) -> None:
         """Listen, link and tick until stopped."""
         server = LinkServer(self.hub)
-        host, port = _split(self._settings.listen)
+        host, port = split_address(self._settings.listen)
         await server.start(host, port)
         dialer = Dialer(
             self.hub,
@@ -188,6 +189,20 @@
         self.runtime.close()
         self._admin.stop()
 
+    def _on_signal(self, number: int, frame: FrameType | None) -> None:
+        """Start to stop; at the second signal name what is cut off."""
+        if not self._stop.is_set():
+            self._stop.set()
+            return
+        self._abandon = True
+        tables = self.systems.holder.tables
+        self.events.record(
+            'keeper_cut_off',
+            reservations=len(tables.reservations),
+            settlements=len(tables.pending),
+            money_held=self.systems.holds_money(),
+        )
+
     async def _leave(self) -> None:
         """Hand over homes and hand back money, then say goodbye."""
         membership = self.systems.membership
@@ -216,7 +231,9 @@
     async def _wait_while(self, busy: Any, limit_s: float) -> None:
         """Wait until something has ended, within a bound."""
         deadline = self.context.clock.now() + limit_s
-        while busy() and self.context.clock.now() < deadline:
+        while busy() and not self._abandon:
+            if self.context.clock.now() >= deadline:
+                return
             await asyncio.sleep(_STEP_S)
 
     async def _keep_dialing(self, dialer: Dialer) -> None:
@@ -319,9 +336,3 @@
 ) -> None:
     """Hand a message of another thread to the event loop."""
     loop.call_soon_threadsafe(receive, message)
-
-
-def _split(address: str) -> tuple[str, int]:
-    """Return host and port of ``ip:port``."""
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
--- a/fuchsiafork/router/application.py
+++ b/fuchsiafork/router/application.py
@@ -11,6 +11,7 @@
 from fuchsiafork.kernel import Clock, EventRing, FuchsiaforkError
 from fuchsiafork.kernel.errors import (
     BadRequestError,
+    OutcomeUnknownError,
     RequestTooLargeError,
     StoppingError,
 )
@@ -116,6 +117,10 @@
             answer = self._make_driver(caller).run(request, self._services)
         except FuchsiaforkError as error:
             self._refuse(request_id, request, caller, error)
+        except Exception as error:
+            # Nothing is known of how far the request came.
+            unknown = OutcomeUnknownError(f'internal error: {error!r}')
+            self._refuse(request_id, request, caller, unknown)
         else:
             self._note_answer(request, answer, self._clock.now() - began)
             if not answer.relayed:
@@ -172,7 +177,8 @@
     ) -> None:
         """Count and record an answer."""
         self._metrics.requests.labels(request.route, answer.version).inc()
-        self._metrics.tokens.labels(request.account).inc(answer.tokens)
+        tokens = _billed(request, answer)
+        self._metrics.tokens.labels(request.account).inc(tokens)
         self._metrics.duration.labels(request.route).observe(seconds)
         self._events.record(
             'request_answered',
@@ -181,7 +187,7 @@
             route=request.route,
             version=answer.version,
             status=answer.status,
-            tokens=answer.tokens,
+            tokens=tokens,
         )
 
     def _refuse(
@@ -221,6 +227,13 @@
         caller.write(body)
 
 
+def _billed(request: Request, answer: Answer) -> int:
+    """Return the tokens that an answer cost; a replay costs nothing."""
+    if not answer.relayed:
+        return 0
+    return answer.tokens if request.engine else request.flat_tokens
+
+
 def refusal_body(request_id: str, error: FuchsiaforkError) -> bytes:
     """Return the JSON body of a refusal."""
     return json.dumps({
--- a/fuchsiafork/router/parsing.py
+++ b/fuchsiafork/router/parsing.py
@@ -92,7 +92,7 @@
         body=json.dumps(body).encode(),
         engine=True,
         idempotent=True,
-        prompt_tokens=_prompt_bound(text, route),
+        prompt_tokens=_prompt_bound(incoming.body, route),
         output_limit=limit,
         flat_tokens=0,
         prefixes=prefix_hashes(text),
@@ -244,7 +244,11 @@
     return given
 
 
-def _prompt_bound(text: bytes, route: Route) -> int:
-    """Return the most tokens that the prompt can have."""
-    tokens = math.ceil(len(text) / route.prompt_bytes_per_token)
+def _prompt_bound(body: bytes, route: Route) -> int:
+    """
+    Return the most tokens that the prompt can have.
+
+    The whole body counts, since tools and formats become prompt tokens too.
+    """
+    tokens = math.ceil(len(body) / route.prompt_bytes_per_token)
     return tokens + _TEMPLATE_TOKENS
--- a/fuchsiafork/router/program.py
+++ b/fuchsiafork/router/program.py
@@ -35,7 +35,7 @@
 from fuchsiafork.router.retries import RetryBudget
 from fuchsiafork.router.server import CallerServer
 from fuchsiafork.router.stalls import StallLimit
-from fuchsiafork.settings import RouterSettings
+from fuchsiafork.settings import RouterSettings, split_address
 
 # Longer than the balancer takes to see that readiness is off.
 BALANCER_WAIT_S = 2.0
@@ -108,7 +108,7 @@
             clock,
         )
         self._admin = AdminServer(
-            *_split(settings.router.admin),
+            *split_address(settings.router.admin),
             Probe(
                 ready=lambda: self.ready,
                 status=self._status,
@@ -231,9 +231,3 @@
             'open_requests': len(self.application.open_requests),
             'unacknowledged': self.node.unacknowledged,
         }
-
-
-def _split(address: str) -> tuple[str, int]:
-    """Return host and port of ``ip:port``."""
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
--- a/fuchsiafork/settings/__init__.py
+++ b/fuchsiafork/settings/__init__.py
@@ -8,6 +8,7 @@
     StoreSettings,
     VmListSettings,
     VmSettings,
+    split_address,
 )
 
 __all__ = (
@@ -18,4 +19,5 @@
     'VmListSettings',
     'VmSettings',
     'load_settings',
+    'split_address',
 )
--- a/fuchsiafork/settings/models.py
+++ b/fuchsiafork/settings/models.py
@@ -185,3 +185,9 @@
     vm: VmSettings
     router: RouterSection
     log: LogSettings = LogSettings()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``ip:port``."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -7,6 +7,7 @@
 
 import urllib3
 
+from fuchsiafork import budgets
 from standins.deployment import (
     CallerClient,
     apply_sections,
@@ -19,8 +20,8 @@
 TOKENS = 400
 
 
-class TestRouterStop(unittest.TestCase):
-    """A router that is told to stop while it relays an answer."""
+class StopCase(unittest.TestCase):
+    """One VM that relays an answer."""
 
     def setUp(self) -> None:
         """Start one VM and open a long answer."""
@@ -39,10 +40,31 @@
         self.thread.start()
         time.sleep(0.5)
 
+    def wait(self, program: str) -> int:
+        """Return a program's exit status."""
+        return self.fleet.processes[f'{self.vm.name}/{program}'].wait(15)
+
+    def rows(self, program: str, event: str) -> list[str]:
+        """Return a program's log lines of one kind."""
+        lines = self.fleet.log(self.vm, program).splitlines()
+        return [line for line in lines if f'event={event} ' in line]
+
+    def _ask(self) -> None:
+        """Keep the answer, or nothing if it breaks."""
+        try:
+            answer = CallerClient('bakers').chat(self.vm.url, 'plan', TOKENS)
+        except urllib3.exceptions.HTTPError:
+            return
+        self.body = answer.data
+
+
+class TestRouterStop(StopCase):
+    """A router that is told to stop while it relays an answer."""
+
     def test_open_answer_is_finished(self) -> None:
         """Guards against a planned stop that cuts an answer off."""
         self.fleet.signal(self.vm, 'router', signal.SIGTERM)
-        self.assertEqual(self._wait(), 0)
+        self.assertEqual(self.wait('router'), 0)
         self.thread.join(5)
         self.assertTrue(whole_answer(self.body, TOKENS), self.body[-200:])
 
@@ -51,22 +73,44 @@
         self.fleet.signal(self.vm, 'router', signal.SIGTERM)
         time.sleep(1)
         self.fleet.signal(self.vm, 'router', signal.SIGTERM)
-        self.assertEqual(self._wait(), 1)
+        self.assertEqual(self.wait('router'), 1)
         self.thread.join(5)
-        rows = self.fleet.log(self.vm, 'router').splitlines()
-        cut = [row for row in rows if 'event=request_cut_off' in row]
+        cut = self.rows('router', 'request_cut_off')
         self.assertEqual(len(cut), 1)
         self.assertIn('path=/v1/chat/completions', cut[0])
         self.assertIn('request_id=', cut[0])
 
-    def _wait(self) -> int:
-        """Return the router's exit status."""
-        return self.fleet.processes[f'{self.vm.name}/router'].wait(15)
 
-    def _ask(self) -> None:
-        """Keep the answer, or nothing if it breaks."""
-        try:
-            answer = CallerClient('bakers').chat(self.vm.url, 'plan', TOKENS)
-        except urllib3.exceptions.HTTPError:
-            return
-        self.body = answer.data
+class TestKeeperStop(StopCase):
+    """A keeper that is told to stop while it holds money."""
+
+    def grants(self) -> int:
+        """Return the money that holders have in the ledger."""
+        store = self.fleet.store.application.model
+        records = [
+            budgets.decode_record(value)
+            for key, _, value in store.list_prefix('ledger/')
+        ]
+        return sum(
+            sum(row.grants.values())
+            for record in records
+            for row in record.budgets.values()
+        )
+
+    def test_money_is_handed_back(self) -> None:
+        """Guards against money that stays withheld after a planned stop."""
+        self.assertGreater(self.grants(), 0)
+        self.thread.join(10)
+        self.fleet.signal(self.vm, 'keeper', signal.SIGTERM)
+        self.assertEqual(self.wait('keeper'), 0)
+        self.assertEqual(self.grants(), 0)
+
+    def test_second_signal_names_what_is_cut_off(self) -> None:
+        """Guards against a forced stop that says nothing of the money."""
+        self.fleet.signal(self.vm, 'keeper', signal.SIGTERM)
+        time.sleep(0.5)
+        self.fleet.signal(self.vm, 'keeper', signal.SIGTERM)
+        self.assertEqual(self.wait('keeper'), 1)
+        rows = self.rows('keeper', 'keeper_cut_off')
+        self.assertEqual(len(rows), 1)
+        self.assertIn('reservations=1', rows[0])
