--- a/tests/test_dispatch_router.py
+++ b/tests/test_dispatch_router.py
@@ -9,7 +9,7 @@
 from fuchsiafork.kernel import Outbox
 from fuchsiafork.membership import HOME
 from standins.virtual import VirtualClock
-from tests.test_dispatch import GOOD, wish
+from tests.dispatch_case import GOOD, wish
 
 
 class RouterCase(unittest.TestCase):
