Keep the gateways of other failure domains while they answer

Keepers that did not choose this one are only heard when called, so each called one became live, took the place of a gateway, and the next silent one was called: links to other domains opened and closed in turn. Ruled out: answers inside a domain; they are still off. Change: a choice stays until a gateway was silent for 5 s; one that failed goes to the end of the order.

--- a/fuchsiafork/membership/contacts.py
+++ b/fuchsiafork/membership/contacts.py
@@ -6,9 +6,8 @@
 from fuchsiafork.kernel import Identity, rank
 
 GATEWAYS_PER_DOMAIN = 2
-# A member of a lost domain that is still called, so that the domain is seen
-# when it comes back.
-PROBES_PER_DOMAIN = 1
+# Longer than a link takes to open and a heartbeat to be answered.
+ANSWER_LIMIT_S = 5.0
 
 _Live = Callable[[str], list[str]]
 
@@ -39,30 +38,65 @@
         return self.node.partition('/')[0]
 
 
-def choose_contacts(
-    identity: Identity,
-    members: Mapping[str, Member],
-    live: _Live,
-) -> list[str]:
+class Gateways:
     """
-    Return all members of the own failure domain and a few of each other.
+    Chooses a few keepers of each other failure domain to be linked with.
 
-    Live ones come first: a dead keeper that ranks high must not take the
-    place of a gateway.
+    A choice stays while it answers: keepers that did not choose this one
+    are only heard when they are called, so a new choice at each heartbeat
+    would open and close links all the time.
     """
-    by_domain: dict[str, list[str]] = {}
-    for member in members.values():
-        by_domain.setdefault(member.domain, []).append(member.node)
-    contacts = by_domain.pop(identity.domain, [])
-    for domain, nodes in sorted(by_domain.items()):
-        awake = set(live(domain))
-        silent = [node for node in nodes if node not in awake]
-        gateways = rank(identity.node, awake)[:GATEWAYS_PER_DOMAIN]
-        missing = GATEWAYS_PER_DOMAIN - len(gateways)
-        probes = rank(identity.node, silent)
-        contacts.extend(gateways)
-        contacts.extend(probes[: max(PROBES_PER_DOMAIN, missing)])
-    return contacts
+
+    def __init__(self, identity: Identity) -> None:
+        """Start without a choice."""
+        self._identity = identity
+        self._chosen: dict[str, float] = {}
+        self._failed: dict[str, float] = {}
+
+    def contacts(self, members: Mapping[str, Member], now: float) -> list[str]:
+        """Return all members of the own domain and the gateways of others."""
+        by_domain: dict[str, list[Member]] = {}
+        for member in members.values():
+            by_domain.setdefault(member.domain, []).append(member)
+        near = by_domain.pop(self._identity.domain, [])
+        contacts = [member.node for member in near]
+        chosen: dict[str, float] = {}
+        for _, domain_members in sorted(by_domain.items()):
+            chosen.update(self._choose(domain_members, now))
+        self._chosen = chosen
+        self._failed = {
+            node: moment
+            for node, moment in self._failed.items()
+            if node in members
+        }
+        return contacts + list(chosen)
+
+    def _choose(self, members: list[Member], now: float) -> dict[str, float]:
+        """Return a domain's gateways with the time of their choice."""
+        kept = {}
+        for member in members:
+            since = self._chosen.get(member.node)
+            if since is None:
+                continue
+            if self._is_lost(member, since, now):
+                self._failed[member.node] = now
+            else:
+                kept[member.node] = since
+        for node in self._candidates(members):
+            if len(kept) >= GATEWAYS_PER_DOMAIN:
+                break
+            kept.setdefault(node, now)
+        return kept
+
+    def _is_lost(self, member: Member, since: float, now: float) -> bool:
+        """Return whether a gateway had time to answer and did not."""
+        silent = now - max(member.last_heard, since)
+        return silent > ANSWER_LIMIT_S
+
+    def _candidates(self, members: list[Member]) -> list[str]:
+        """Return a domain's members, those that failed last at the end."""
+        ranked = rank(self._identity.node, [one.node for one in members])
+        return sorted(ranked, key=lambda node: self._failed.get(node, -1.0))
 
 
 def find_hop(
--- a/fuchsiafork/membership/system.py
+++ b/fuchsiafork/membership/system.py
@@ -7,8 +7,8 @@
 from fuchsiafork import messages
 from fuchsiafork.kernel import Context, System, rank
 from fuchsiafork.membership.contacts import (
+    Gateways,
     Member,
-    choose_contacts,
     find_hop,
 )
 from fuchsiafork.membership.picking import pick_home
@@ -44,6 +44,7 @@
         self.verdicts = 0
         self.leaving = False
         self._address = address
+        self._gateways = Gateways(context.identity)
         self._next_heartbeat = 0.0
         self._next_roster = 0.0
 
@@ -259,8 +260,5 @@
 
     def _contacts(self) -> list[str]:
         """Return the members to which heartbeats go and links are kept."""
-        return choose_contacts(
-            self._context.identity,
-            self.members,
-            self.live,
-        )
+        now = self._context.clock.now()
+        return self._gateways.contacts(self.members, now)
--- a/measurements/demo.py
+++ b/measurements/demo.py
@@ -6,6 +6,7 @@
 and a rollout moves traffic to a version that fails.
 """
 
+import math
 import time
 from typing import Any
 
@@ -14,6 +15,8 @@
 from measurements.demo_traffic import Traffic
 
 TRAFFIC_S = 8.0
+LONGEST_S = 12.0
+POLL_S = 0.2
 CUT_FROM_S = 3.0
 CUT_UNTIL_S = 5.0
 # Time for the last settlements to reach the ledger.
@@ -51,6 +54,11 @@
     _sleep_until(began + CUT_UNTIL_S)
     site.heal()
     _sleep_until(began + TRAFFIC_S)
+    # Few requests go to an unproven version, so its verdict can take longer.
+    while time.monotonic() < began + LONGEST_S:
+        if site.verdict_wall() < math.inf:
+            break
+        time.sleep(POLL_S)
     traffic.stop()
     time.sleep(SETTLE_S)
     return Report(name, site, traffic)
--- a/measurements/demo_site.py
+++ b/measurements/demo_site.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import configparser
 import datetime as dt
+import math
 import pathlib
 import time
 from collections.abc import Iterable
@@ -116,6 +117,16 @@
                 ended.result()
         self.store.stop()
 
+    def verdict_wall(self) -> float:
+        """Return the Unix time of the first bad verdict, infinite for none."""
+        stamps = [
+            event.stamp.wall_ms / 1000
+            for keeper in self.keepers.values()
+            for event in keeper.events.since(0)
+            if event.kind == 'verdict_bad'
+        ]
+        return min(stamps, default=math.inf)
+
     def accounts(self) -> list[str]:
         """Return the client accounts of the sample."""
         return list(_names(self.sections, 'account'))
