Use the dispatch's version policy in the rollout measurement

Cause: the measurement declared the same interface again and had a method that raised NotImplementedError. Conclusion: no behaviour changes.

--- a/measurements/rollouts_fleet.py
+++ b/measurements/rollouts_fleet.py
@@ -1,11 +1,12 @@
 """A fleet in virtual time that moves several routes to new versions."""
 
+import abc
 import collections
 import dataclasses
 import datetime as dt
 import functools
 import random
-from typing import Any, Protocol
+from typing import Any
 
 from fuchsiafork.configuration import (
     Document,
@@ -15,6 +16,7 @@
     Version,
 )
 from fuchsiafork.configuration import Route as RouteSection
+from fuchsiafork.dispatch import VersionPolicy
 from fuchsiafork.kernel import (
     Context,
     EventRing,
@@ -34,24 +36,6 @@
 _GATEWAYS = 2
 
 
-class Policy(Protocol):
-    """What a router asks and tells."""
-
-    def choose(self, route: str) -> str:
-        """Return the version for the next request."""
-
-    def started(self, route: str, version: str) -> None:
-        """Count a request."""
-
-    def ended(
-        self,
-        route: str,
-        version: str,
-        observation: Observation,
-    ) -> None:
-        """Take what was seen of a request."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """
@@ -142,7 +126,7 @@
         self.system.tick()
 
 
-class Traffic:
+class Traffic(abc.ABC):
     """Sends the requests of a plan's routes through policies."""
 
     def __init__(self, plan: Plan, clock: VirtualClock) -> None:
@@ -157,10 +141,11 @@
         for route in self.plan.routes:
             self._next(route)
 
-    def policy(self, domain: str, route: Route) -> Policy:
+    @abc.abstractmethod
+    def policy(self, domain: str, route: Route) -> VersionPolicy:
         """Return the policy that owns a route's targets in a domain."""
-        raise NotImplementedError
 
+    @abc.abstractmethod
     def settle(self, domain: str, route: Route) -> None:
         """Carry out the effects of a policy's step."""
 
@@ -231,7 +216,7 @@
             )
             self.scheduler.call_later(end, self.network.heal)
 
-    def policy(self, domain: str, route: Route) -> Policy:
+    def policy(self, domain: str, route: Route) -> VersionPolicy:
         """Return the rollout system of the owner."""
         return self.keepers[self._owner(domain, route)].system
 
@@ -280,7 +265,10 @@
             for route in plan.routes
         }
 
-    def policy(self, domain: str, route: Route) -> Policy:
+    def settle(self, domain: str, route: Route) -> None:
+        """Do nothing: the schedule has no effects."""
+
+    def policy(self, domain: str, route: Route) -> VersionPolicy:
         """Return the route's policy."""
         return self._policies[route.name]
 
