Send verdicts in a fixed order

The verdicts of a rollout were iterated as a set, so the order of messages, and with it the random delays, followed the hashes of strings. Ruled out: the abstract base of the traffic; the results differed with PYTHONHASHSEED alone. budgets, outcomes and targets gave equal lines for hash seeds 0 and 5. Change: entries come sorted by section and domain.

--- a/fuchsiafork/rollouts/verdicts.py
+++ b/fuchsiafork/rollouts/verdicts.py
@@ -83,13 +83,19 @@
             default=None,
         )
 
-    def entries(self, rollout: str) -> set[tuple[str, Verdict]]:
-        """Return all section digests and verdicts of a rollout."""
-        return {
+    def entries(self, rollout: str) -> list[tuple[str, Verdict]]:
+        """
+        Return all section digests and verdicts of a rollout, in fixed order.
+
+        The order decides the order of messages, and a seeded run repeats
+        only if that does not depend on the hashes of strings.
+        """
+        found = [
             (section, verdict)
             for section, domains in self._rollouts.get(rollout, {}).items()
             for verdict in domains.values()
-        }
+        ]
+        return sorted(found, key=lambda entry: (entry[0], entry[1].domain))
 
     def rollouts(self) -> list[str]:
         """Return the rollouts with a verdict."""
@@ -178,7 +184,7 @@
         rollout = answer.key.removeprefix(PREFIX)
         self._learn(rollout, answer.value)
         entries = self._book.entries(rollout)
-        if entries == set(decode_record(answer.value)):
+        if set(entries) == set(decode_record(answer.value)):
             self._unsaved.pop(rollout, None)
             return
         self._context.outbox.store(
@@ -201,7 +207,7 @@
         now = self._context.clock.now()
         for rollout in self._book.rollouts():
             have = set(decode_record(stored.get(f'{PREFIX}{rollout}')))
-            if self._book.entries(rollout) - have:
+            if set(self._book.entries(rollout)) - have:
                 wait = self._context.random.uniform(0, _RETRY_S)
                 self._unsaved.setdefault(rollout, now + wait)
 
--- /dev/null
+++ b/tests/test_rollouts_verdicts.py
@@ -0,0 +1,22 @@
+"""Tests of the book of verdicts."""
+
+import itertools
+import unittest
+
+from fuchsiafork.rollouts.verdicts import Verdict, VerdictBook
+
+
+class TestVerdictBook(unittest.TestCase):
+    """Verdicts of several failure domains."""
+
+    def test_order_of_entries_is_fixed(self) -> None:
+        """Guards against seeded runs that differ from process to process."""
+        domains = ('a', 'b', 'c')
+        orders = set()
+        for arrival in itertools.permutations(domains):
+            book = VerdictBook()
+            for domain in arrival:
+                book.add('r', 's', Verdict('bad', 'errors', domain, 1))
+            entries = book.entries('r')
+            orders.add(tuple(verdict.domain for _, verdict in entries))
+        self.assertEqual(orders, {domains})
