Build the answer for a failed store operation in one place

Cause: the key-value adapter, the keeper's runtime and the virtual store each built StoreFailed from an operation; the runtime's copy left out the prefix of a list operation. Change: kernel.outbox.failed serves all three. Conclusion: behaviour stays, but that a list refused for too many open calls now names its prefix, as the adapter's answer does.

--- a/fuchsiafork/adapters/store.py
+++ b/fuchsiafork/adapters/store.py
@@ -45,10 +45,9 @@
             return self._run(operation)
         except StoreCallError as error:
             writes = isinstance(operation, effects.CompareAndSwap)
-            return effects.StoreFailed(
-                operation.tag,
-                getattr(operation, 'key', getattr(operation, 'prefix', '')),
-                outcome_unknown=error.outcome_unknown and writes,
+            return effects.failed(
+                operation,
+                unknown=error.outcome_unknown and writes,
             )
 
     def swap(
--- a/fuchsiafork/keeper/runtime.py
+++ b/fuchsiafork/keeper/runtime.py
@@ -110,10 +110,7 @@
     def _start_call(self, operation: outbox.StoreOperation) -> None:
         """Start a store operation, or fail it when too many are open."""
         if self._in_flight >= STORE_CALLS_IN_FLIGHT:
-            key = getattr(operation, 'key', '')
-            self.node.answer(
-                outbox.StoreFailed(operation.tag, key, outcome_unknown=False),
-            )
+            self.node.answer(outbox.failed(operation, unknown=False))
             return
         self._in_flight += 1
         task = asyncio.create_task(self._call(operation))
--- a/fuchsiafork/kernel/outbox.py
+++ b/fuchsiafork/kernel/outbox.py
@@ -102,6 +102,16 @@
 StoreAnswer = KeyRead | KeysListed | SwapDone | StoreFailed
 
 
+def failed(
+    operation: StoreOperation,
+    *,
+    unknown: bool,
+) -> StoreFailed:
+    """Return the answer that stands for no answer."""
+    key = getattr(operation, 'key', getattr(operation, 'prefix', ''))
+    return StoreFailed(operation.tag, key, outcome_unknown=unknown)
+
+
 class Outbox:
     """Collects the effects of one step, in order."""
 
--- a/measurements/demo_site.py
+++ b/measurements/demo_site.py
@@ -12,6 +12,7 @@
 from fuchsiafork.adapters.store import StoreClient
 from fuchsiafork.keeper.program import KeeperProgram
 from fuchsiafork.kernel import outbox
+from fuchsiafork.kernel.outbox import failed
 from fuchsiafork.observability.logs import configure_logs
 from fuchsiafork.router.program import RouterProgram
 from fuchsiafork.settings import KeeperSettings, RouterSettings
@@ -26,7 +27,6 @@
     router_settings,
 )
 from standins.store_server import StoreServer
-from standins.virtual import failed
 
 BAD_VERSION = 'assistant-2'
 GOOD_VERSION = 'assistant-1'
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -16,6 +16,7 @@
 
 from fuchsiafork.kernel import Clock, Outbox
 from fuchsiafork.kernel import outbox as effects
+from fuchsiafork.kernel.outbox import failed
 from standins.store_model import StoreModel
 
 
@@ -253,16 +254,6 @@
         held.append(functools.partial(deliver, *given))
 
 
-def failed(
-    operation: effects.StoreOperation,
-    *,
-    unknown: bool,
-) -> effects.StoreFailed:
-    """Return the answer that stands for no answer."""
-    key = getattr(operation, 'key', getattr(operation, 'prefix', ''))
-    return effects.StoreFailed(operation.tag, key, outcome_unknown=unknown)
-
-
 @functools.singledispatch
 def apply_operation(
     operation: Any,
