--- /dev/null
+++ b/fuchsiafork/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""One process a VM: callers' requests, budgets, targets, configuration."""
--- /dev/null
+++ b/fuchsiafork/gateway/__main__.py
@@ -0,0 +1,25 @@
+"""Runs the process of a VM: ``python -m fuchsiafork.gateway``."""
+
+import sys
+
+from fuchsiafork.gateway.program import run
+from fuchsiafork.kernel.errors import SettingsError
+from fuchsiafork.observability.logs import configure_logs, get_logger
+from fuchsiafork.platform.settings import settings_path
+
+
+def main() -> int:
+    """Return the exit status of the process."""
+    configure_logs()
+    try:
+        return run(settings_path())
+    except SettingsError as error:
+        get_logger('fuchsiafork.gateway').error(
+            'settings_invalid',
+            reason=str(error),
+        )
+        return 2
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/fuchsiafork/gateway/money.py
@@ -0,0 +1,197 @@
+"""Keeps the grants of this process in step with the ledger in the store."""
+
+import asyncio
+import contextlib
+import random
+from typing import Any
+
+from fuchsiafork.kernel import Clock
+from fuchsiafork.kernel.errors import (
+    BudgetExhaustedError,
+    BudgetUnreachableError,
+    FuchsiaforkError,
+    StoreUnavailableError,
+)
+from fuchsiafork.platform.store import (
+    Item,
+    PlatformStore,
+    StoreOutcomeUnknownError,
+)
+from fuchsiafork.prepaid import (
+    Purse,
+    Reservation,
+    decode_ledger,
+    encode_ledger,
+)
+
+LEDGER_KEY = 'fuchsiafork/ledger'
+# Seconds between two writes while tokens are used.
+SYNC_S = 2.5
+# Least seconds between two writes, when requests wait for tokens.
+SHORTAGE_SYNC_S = 0.3
+# Writes tried in a row when other VMs write at the same time.
+MOST_CONFLICTS = 6
+# Longest wait of a request for tokens, and its share of the time left.
+WAIT_S = 1.0
+WAIT_SHARE = 0.3
+RETRY_AFTER_S = 1.0
+
+
+class Money:
+    """Reserves tokens for requests, and renews them from the ledger."""
+
+    def __init__(
+        self,
+        purse: Purse,
+        store: PlatformStore,
+        clock: Clock,
+        chance: random.Random,
+        log: Any,
+    ) -> None:
+        """Start before the first write."""
+        self._purse = purse
+        self._store = store
+        self._clock = clock
+        self._chance = chance
+        self._log = log
+        self._due = asyncio.Event()
+        self._round = asyncio.Condition()
+        self._reached = False
+        self._ticked = clock.now()
+
+    def set_prepaid(self, prepaid: dict[str, int]) -> None:
+        """Take over the budgets of a new configuration."""
+        self._purse.set_prepaid(prepaid)
+        if self._purse.lacking:
+            self._due.set()
+
+    async def reserve(
+        self,
+        account: str,
+        tokens: int,
+        remaining_s: float,
+    ) -> Reservation:
+        """
+        Return a reservation, after a wait for tokens if need be.
+
+        :raises BudgetExhaustedError: if the budget can't cover the tokens.
+        :raises BudgetUnreachableError: if other VMs or the store hold them.
+        """
+        until = self._clock.now() + min(WAIT_S, WAIT_SHARE * remaining_s)
+        while True:
+            reservation = self._purse.reserve(account, tokens)
+            if reservation is not None:
+                return reservation
+            if self._purse.exhausted(account, tokens):
+                raise BudgetExhaustedError(f'less than {tokens} tokens left')
+            left = until - self._clock.now()
+            if left <= 0 or not self._reached:
+                raise self._unreachable(tokens)
+            await self._wait_round(left)
+
+    def settle(self, reservation: Reservation, tokens: int) -> None:
+        """End a reservation with what the request has cost."""
+        self._purse.settle(reservation, tokens)
+
+    async def run(self) -> None:
+        """Write the ledger whenever it is due."""
+        while True:
+            if self._wanted:
+                await self._sync()
+                await asyncio.sleep(SHORTAGE_SYNC_S)
+            period = SYNC_S * self._chance.uniform(0.8, 1.2)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period):
+                    await self._due.wait()
+            self._due.clear()
+
+    async def stop(self) -> None:
+        """Give back the tokens that no open request may cost."""
+        self._purse.leave()
+        await self._sync()
+
+    @property
+    def _wanted(self) -> bool:
+        """Whether a write would change anything."""
+        changed = self._purse.unsettled or self._purse.lacking
+        return changed or not self._reached
+
+    async def _wait_round(self, seconds: float) -> None:
+        """Wait for the end of the next write, or some seconds."""
+        self._due.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                async with self._round:
+                    await self._round.wait()
+
+    async def _sync(self) -> None:
+        """Settle and renew the grants by one write."""
+        self._due.clear()
+        now = self._clock.now()
+        self._purse.tick(now - self._ticked)
+        self._ticked = now
+        try:
+            await self._write()
+        except FuchsiaforkError as error:
+            self._note_reached(reached=False, reason=str(error))
+        else:
+            self._note_reached(reached=True, reason='')
+        async with self._round:
+            self._round.notify_all()
+
+    async def _write(self) -> None:
+        """
+        Read the record and write it anew until no other write interferes.
+
+        :raises StoreUnavailableError: if the store doesn't answer.
+        """
+        item = await self._store.read(LEDGER_KEY)
+        for _ in range(MOST_CONFLICTS):
+            current = await self._swap(item)
+            if current is None:
+                return
+            item = current
+        raise StoreUnavailableError('too many writes at the same time')
+
+    async def _swap(self, item: Item) -> Item | None:
+        """Return what is stored instead if the record has changed."""
+        ledger = decode_ledger(item.value or b'')
+        self._purse.learn(ledger, item.revision)
+        change = self._purse.plan(
+            ledger,
+            item.revision,
+            self._clock.wall(),
+        )
+        try:
+            swap = await self._store.swap(
+                LEDGER_KEY,
+                item.revision,
+                encode_ledger(ledger),
+            )
+        except StoreOutcomeUnknownError:
+            raise
+        except StoreUnavailableError:
+            self._purse.withdraw(change)
+            raise
+        if swap.revision:
+            self._purse.confirm(change, ledger)
+            return None
+        self._purse.withdraw(change)
+        if swap.current:
+            return swap.current[0]
+        return await self._store.read(LEDGER_KEY)
+
+    def _note_reached(self, *, reached: bool, reason: str) -> None:
+        """Log when the ledger is lost or regained."""
+        if reached != self._reached:
+            kind = 'ledger_reached' if reached else 'ledger_lost'
+            self._log.info(kind, reason=reason)
+        self._reached = reached
+
+    def _unreachable(self, tokens: int) -> FuchsiaforkError:
+        """Return what to tell a caller whose tokens are elsewhere."""
+        place = 'other VMs' if self._reached else 'the store'
+        return BudgetUnreachableError(
+            f'{tokens} tokens may be left, but {place} would have to give them',
+            retry_after=RETRY_AFTER_S,
+        )
--- /dev/null
+++ b/fuchsiafork/gateway/program.py
@@ -0,0 +1,282 @@
+"""Composes the process of a VM and runs it until it is told to stop."""
+
+import asyncio
+import functools
+import random
+import secrets
+import signal
+from pathlib import Path
+from typing import Any
+
+from fuchsiafork.gateway.catalog import Catalog, Limits
+from fuchsiafork.gateway.exchange import Exchange, Services
+from fuchsiafork.gateway.money import Money
+from fuchsiafork.gateway.placement import Placement
+from fuchsiafork.gateway.registry import ConfigurationFeed, TargetFeed
+from fuchsiafork.gateway.repeats import RepeatBudget
+from fuchsiafork.gateway.targets import TargetTable
+from fuchsiafork.gateway.watching import Watcher
+from fuchsiafork.kernel import SystemClock
+from fuchsiafork.kernel.errors import (
+    BadRequestError,
+    FuchsiaforkError,
+    HeadersTooLargeError,
+    RequestTimeoutError,
+    RequestTooLargeError,
+    SettingsError,
+    StoppingError,
+)
+from fuchsiafork.kernel.refusals import refusal_body
+from fuchsiafork.observability.logs import get_logger
+from fuchsiafork.platform import headers as wire
+from fuchsiafork.platform import names
+from fuchsiafork.platform.settings import VmSettings, load_vm_settings
+from fuchsiafork.platform.store import PlatformStore
+from fuchsiafork.prepaid import Purse
+from fuchsiafork.transport.caller import (
+    CallerConnection,
+    CallerLimits,
+    CallerRequest,
+    CallerServer,
+)
+from fuchsiafork.transport.pool import ConnectionPool
+
+# Callers waiting to be accepted.
+BACKLOG = 512
+TICK_S = 0.25
+# Seconds after SIGTERM in which new requests are still served, until the
+# load balancer sends no more.
+TAKE_S = 2.8
+# Seconds before the platform kills the process in which it ends by itself.
+END_MARGIN_S = 0.6
+
+_UNREADABLE: dict[int, type[FuchsiaforkError]] = {
+    408: RequestTimeoutError,
+    413: RequestTooLargeError,
+    431: HeadersTooLargeError,
+}
+
+
+class GatewayProgram:
+    """One process: callers' requests, budgets, targets, configuration."""
+
+    def __init__(self, path: Path) -> None:
+        """
+        Compose the process; nothing listens yet.
+
+        :raises SettingsError: if its settings file is invalid.
+        """
+        self._path = path
+        self._settings = load_vm_settings(path)
+        self._log = get_logger('fuchsiafork.gateway').bind(
+            vm=self._settings.vm,
+        )
+        self._clock = SystemClock()
+        self._chance = random.Random(secrets.randbits(64))
+        self._pool = ConnectionPool(self._clock)
+        self._stopping = asyncio.Event()
+        self._refusing = False
+        self._services = self._make_services(self._settings)
+        self._callers = CallerServer(self._serve, self._reject, self._limits)
+        self._readiness = CallerServer(
+            self._tell_ready,
+            self._reject,
+            self._limits,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether the load balancer may send callers here."""
+        known = self._services.catalog is not None and self._targets.listed
+        return known and not self._stopping.is_set()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._listen()
+        self._start_tasks()
+        self._log.info('started', settings=str(self._path))
+        await self._stopping.wait()
+        await self._drain()
+        self._log.info('stopped')
+
+    async def _listen(self) -> None:
+        """Listen for callers and for questions after readiness."""
+        loop = asyncio.get_running_loop()
+        for address, server in (
+            (self._settings.listen.callers, self._callers),
+            (self._settings.listen.readiness, self._readiness),
+        ):
+            host, _, port = address.rpartition(':')
+            await loop.create_server(
+                functools.partial(CallerConnection, server),
+                host,
+                int(port),
+                backlog=BACKLOG,
+                reuse_address=True,
+            )
+
+    def _start_tasks(self) -> None:
+        """Follow the store and run the systems."""
+        configuration = ConfigurationFeed(self._apply, self._log)
+        watches = (
+            self._configured.run(configuration.take, configuration.take),
+            self._registered.run(
+                self._targets.take_all,
+                self._targets.take_some,
+            ),
+            self._services.money.run(),
+            self._tick(),
+        )
+        self._tasks = [asyncio.create_task(watch) for watch in watches]
+        for task in self._tasks:
+            task.add_done_callback(self._note_end)
+
+    def _make_services(self, settings: VmSettings) -> Services:
+        """Compose what the exchanges share."""
+        clock, chance, log = self._clock, self._chance, self._log
+        store = PlatformStore(settings.store.address, self._pool)
+        holder = f'{settings.vm}#{secrets.token_hex(4)}'
+        table = TargetTable()
+        self._configured = Watcher(
+            names.OPERATOR_PREFIX,
+            store,
+            clock,
+            chance,
+            log,
+        )
+        self._registered = Watcher(
+            names.TARGETS_PREFIX,
+            store,
+            clock,
+            chance,
+            log,
+        )
+        self._targets = TargetFeed(table, self._registered, clock, log)
+        bounds = settings.bounds
+        return Services(
+            clock=clock,
+            chance=chance,
+            log=log,
+            targets=table,
+            pool=self._pool,
+            placement=Placement(settings.domain, chance),
+            repeats=RepeatBudget(
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                bounds.retry_window_s,
+            ),
+            money=Money(Purse(holder), store, clock, chance, log),
+        )
+
+    def _apply(self, catalog: Catalog) -> None:
+        """Put a configuration into force."""
+        self._services.catalog = catalog
+        self._services.money.set_prepaid(catalog.prepaid)
+
+    def _limits(self) -> CallerLimits:
+        """Return the bounds on callers in force."""
+        catalog = self._services.catalog
+        limits = catalog.limits if catalog else Limits()
+        return CallerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+    async def _serve(
+        self,
+        request: CallerRequest,
+        caller: CallerConnection,
+    ) -> None:
+        """Answer a caller's request."""
+        if self._refusing:
+            error = StoppingError('the process is stopping', retry_after=0)
+            _answer_error(caller, error)
+            return
+        await Exchange(request, caller, self._services).run()
+
+    async def _tell_ready(
+        self,
+        request: CallerRequest,
+        caller: CallerConnection,
+    ) -> None:
+        """Answer the load balancer."""
+        if request.path != names.READY_PATH:
+            caller.answer(404, [], b'')
+        elif self.ready:
+            caller.answer(200, [], b'')
+        else:
+            caller.answer(503, [], b'')
+
+    def _reject(
+        self,
+        status: int,
+        reason: str,
+        caller: CallerConnection,
+    ) -> None:
+        """Refuse a request that could not be read."""
+        kind = _UNREADABLE.get(status, BadRequestError)
+        self._log.info('request_unreadable', status=status, reason=reason)
+        _answer_error(caller, kind(reason))
+
+    async def _tick(self) -> None:
+        """Run what goes by time."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            for target_id in self._services.targets.expire(self._clock.now()):
+                self._log.info('target_gone', target=target_id)
+            self._pool.sweep()
+
+    def _reload(self) -> None:
+        """Check the settings file anew; what is in force needs no restart."""
+        try:
+            self._settings = load_vm_settings(self._path)
+        except SettingsError as error:
+            self._log.error('settings_invalid', reason=str(error))
+        else:
+            self._log.info('settings_reloaded')
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """End the process if one of its systems has failed."""
+        if task.cancelled():
+            return
+        self._log.error('system_failed', reason=repr(task.exception()))
+        self._stopping.set()
+
+    async def _drain(self) -> None:
+        """Let the callers go, and finish the requests in flight."""
+        self._log.info('stopping', connections=len(self._callers.connections))
+        ends = self._clock.now() + self._settings.bounds.grace_s - END_MARGIN_S
+        self._callers.stopping = True
+        await asyncio.sleep(TAKE_S)
+        self._refusing = True
+        while self._callers.busy and self._clock.now() < ends:
+            self._callers.close_idle()
+            await asyncio.sleep(0.05)
+        self._callers.close_idle()
+        await self._services.money.stop()
+
+
+def _answer_error(caller: CallerConnection, error: FuchsiaforkError) -> None:
+    """Give the answer of an error that no route is known for."""
+    headers = wire.refusal_headers('', error.retry_after)
+    caller.answer(error.status, headers, refusal_body('', error))
+
+
+def run(path: Path) -> int:
+    """Return the exit status of a process with a settings file."""
+
+    async def serve() -> None:
+        await GatewayProgram(path).run()
+
+    asyncio.run(serve())
+    return 0
+
+
+__all__: tuple[Any, ...] = ('GatewayProgram', 'run')
--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -87,6 +87,12 @@
     retry_safe = True
 
 
+class StoreFormatError(FuchsiaforkError):
+    """A value in the key-value service could not be read."""
+
+    code = 1302
+
+
 class UnauthorizedError(FuchsiaforkError):
     """The bearer token belongs to no client account."""
 
@@ -154,6 +160,29 @@
     retry_safe = True
 
 
+class HeadersTooLargeError(FuchsiaforkError):
+    """The request's headers are over the bound."""
+
+    code = 2010
+    status = 431
+
+
+class RequestTimeoutError(FuchsiaforkError):
+    """The request did not come whole in time."""
+
+    code = 2011
+    status = 408
+    retry_safe = True
+
+
+class NotConfiguredError(FuchsiaforkError):
+    """The process knows no configuration that is recent enough."""
+
+    code = 2012
+    status = 503
+    retry_safe = True
+
+
 class BudgetExhaustedError(FuchsiaforkError):
     """The budget cannot cover the request's worst case."""
 
@@ -260,6 +289,14 @@
     run_state = RunState.RUN
 
 
+class TargetTimeoutError(FuchsiaforkError):
+    """The target gave no whole answer in time."""
+
+    code = 2305
+    status = 504
+    run_state = RunState.OUTCOME_UNKNOWN
+
+
 def _walk(
     base: type[FuchsiaforkError],
 ) -> list[type[FuchsiaforkError]]:
--- /dev/null
+++ b/fuchsiafork/platform/documents.py
@@ -0,0 +1,214 @@
+"""Reads the operator's configuration and the targets' entries."""
+
+import json
+from typing import Any
+
+import pydantic
+import pydantic.alias_generators
+
+from fuchsiafork.gateway.catalog import (
+    Account,
+    CallKind,
+    Catalog,
+    Limits,
+    Route,
+    Service,
+    Split,
+    digest_key,
+    sort_routes,
+)
+from fuchsiafork.gateway.targets import Target
+from fuchsiafork.kernel.errors import ConfigurationError
+
+_MS_PER_S = 1000.0
+_KINDS = {
+    'safe': CallKind.IDEMPOTENT,
+    'unsafe': CallKind.NON_IDEMPOTENT,
+    'streaming': CallKind.STREAM,
+}
+
+
+class _Model(pydantic.BaseModel):
+    """Part of a document; unknown fields are ignored."""
+
+    model_config = pydantic.ConfigDict(
+        extra='ignore',
+        frozen=True,
+        alias_generator=pydantic.alias_generators.to_camel,
+    )
+
+
+class _Split(_Model):
+    service: str
+    weight: float = pydantic.Field(ge=0)
+
+
+class _Route(_Model):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    service: str = ''
+    traffic_split: list[_Split] = []
+    timeout_ms: float = pydantic.Field(15_000, gt=0)
+    target_latency_ms: float = 1000
+    max_attempts: int = pydantic.Field(1, ge=1)
+    priority: int = 0
+    public: bool = False
+    session_affinity: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = 0
+
+
+class _Engine(_Model):
+    # Most tokens in one event of a stream.
+    stride: int = 1
+
+
+class _Service(_Model):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(_Model):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(_Model):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    prepaid: int | None = None
+
+
+class _Document(_Model):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+    # None in a configuration without client accounts: no key is asked for.
+    tenants: list[_Tenant] | None = None
+
+
+class _Entry(_Model):
+    """
+    What a target says of itself.
+
+    ``seq`` and ``coldLeftMs`` change with each heartbeat and are not kept.
+    """
+
+    service: str = pydantic.Field(min_length=1, strict=True)
+    address: str = pydantic.Field(pattern=r'^[0-9.]+:[0-9]+$', strict=True)
+    zone: str = pydantic.Field(strict=True)
+    version: str = pydantic.Field(strict=True)
+    slots: int = pydantic.Field(gt=0, strict=True)
+    state: str = pydantic.Field(pattern='^(ready|draining)$', strict=True)
+    born: int = pydantic.Field(0, strict=True)
+
+
+def read_catalog(value: bytes) -> Catalog:
+    """
+    Return a configuration in the product's form.
+
+    :raises ConfigurationError: naming each field that is wrong.
+    """
+    try:
+        document = _Document.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        raise ConfigurationError(_describe(error)) from None
+    tenants = document.tenants or []
+    return Catalog(
+        version=document.version,
+        routes=sort_routes([_to_route(route) for route in document.routes]),
+        services={
+            service.name: _to_service(service) for service in document.services
+        },
+        accounts={
+            digest_key(key): Account(
+                tenant.name,
+                tenant.priority,
+                tenant.prepaid,
+            )
+            for tenant in tenants
+            for key in tenant.api_keys
+        },
+        limits=_to_limits(document.limits),
+        keyed=document.tenants is not None,
+    )
+
+
+def read_target(target_id: str, value: bytes) -> Target | None:
+    """Return the target that an entry describes, None if it names none."""
+    try:
+        entry = _Entry.model_validate(json.loads(value))
+    except (ValueError, RecursionError):
+        return None
+    return Target(
+        target_id=target_id,
+        service=entry.service,
+        address=entry.address,
+        domain=entry.zone,
+        version=entry.version,
+        slots=entry.slots,
+        leaving=entry.state == 'draining',
+        born_ms=entry.born,
+    )
+
+
+def _to_route(route: _Route) -> Route:
+    """Return a route in the product's form."""
+    if route.kind not in _KINDS:
+        raise ConfigurationError(f'route {route.name!r}: kind {route.kind!r}')
+    splits = tuple(
+        Split(split.service, split.weight)
+        for split in route.traffic_split
+        if split.weight > 0
+    )
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        kind=_KINDS[route.kind],
+        timeout_s=route.timeout_ms / _MS_PER_S,
+        slo_s=route.target_latency_ms / _MS_PER_S,
+        priority=route.priority,
+        splits=splits or (Split(route.service, 1),),
+        max_targets=route.max_attempts,
+        public=route.public,
+        affinity=route.session_affinity,
+        resumable=route.stream_resume,
+        gap_s=route.gap_aim_ms / _MS_PER_S,
+    )
+
+
+def _to_service(service: _Service) -> Service:
+    """Return a service in the product's form."""
+    engine = service.engine
+    return Service(
+        name=service.name,
+        max_connections=service.max_connections,
+        event_tokens=engine.stride if engine else 0,
+    )
+
+
+def _to_limits(limits: _Limits) -> Limits:
+    """Return the limits on callers in the product's form."""
+    return Limits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_ms / _MS_PER_S,
+        idle_timeout_s=limits.idle_timeout_ms / _MS_PER_S,
+    )
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    """Return the faults of a document; values are left out, keys too."""
+    faults: list[Any] = error.errors()
+    return '; '.join(
+        f'{".".join(str(part) for part in fault["loc"])}: {fault["msg"]}'
+        for fault in faults
+    )
--- /dev/null
+++ b/fuchsiafork/platform/settings.py
@@ -0,0 +1,122 @@
+"""Settings file of a VM in the platform's form."""
+
+import os
+from pathlib import Path
+from typing import Any
+
+import pydantic
+
+from fuchsiafork.kernel.errors import SettingsError
+
+PATH_VARIABLE = 'FUCHSIAFORK_NODE_FILE'
+DEFAULT_PATH = '/etc/fuchsiafork/node.conf'
+
+
+class _Section(pydantic.BaseModel):
+    """Part of the settings; unknown fields are ignored."""
+
+    model_config = pydantic.ConfigDict(
+        extra='ignore',
+        frozen=True,
+        populate_by_name=True,
+    )
+
+
+class Bounds(_Section):
+    """
+    Bounds that the users have agreed with the platform.
+
+    :ivar grace_s: seconds from SIGTERM to SIGKILL.
+    :ivar drain_ms: time after which a leaving target gets no new request.
+    :ivar retry_ratio: repeats the whole fleet may send, per request.
+    :ivar retry_extra: repeats that it may send besides, in a window.
+    :ivar retry_window_s: length of that window.
+    """
+
+    grace_s: float = pydantic.Field(8.0, alias='graceS')
+    drain_ms: float = pydantic.Field(2000.0, alias='drainMs')
+    retry_ratio: float = pydantic.Field(0.2, alias='retryBudgetRatio')
+    retry_extra: float = pydantic.Field(20.0, alias='budgetExtra')
+    retry_window_s: float = pydantic.Field(10.0, alias='budgetWindowS')
+
+
+class Listen(_Section):
+    """Addresses that the process listens on, IP:PORT."""
+
+    callers: str = pydantic.Field(alias='front')
+    readiness: str = pydantic.Field(alias='ready')
+
+
+class StoreSection(_Section):
+    """The platform's store."""
+
+    address: str
+
+
+class VmSettings(_Section):
+    """
+    Settings of a process.
+
+    :ivar vm: name of the VM.
+    :ivar domain: its failure domain.
+    :ivar domains: all failure domains, with their regions.
+    """
+
+    vm: str = pydantic.Field(alias='node')
+    domain: str = pydantic.Field(alias='zone')
+    domains: dict[str, str] = pydantic.Field(
+        alias='zones',
+        default_factory=dict,
+    )
+    listen: Listen
+    store: StoreSection = pydantic.Field(alias='platform')
+    bounds: Bounds = Bounds.model_validate({})
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file."""
+    return Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def load_vm_settings(path: Path) -> VmSettings:
+    """
+    Return the validated settings of a file.
+
+    :raises SettingsError: with all faults, a line each.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f'{path}: {error}') from None
+    try:
+        return VmSettings.model_validate(_parse(text))
+    except pydantic.ValidationError as error:
+        lines = [_describe(path, fault) for fault in error.errors()]
+    raise SettingsError('\n'.join(lines))
+
+
+def _parse(text: str) -> dict[str, Any]:
+    """Return lines of the form ``a.b=value`` as nested tables."""
+    tables: dict[str, Any] = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition('=')
+        if separator:
+            _put(tables, name.strip().split('.'), value.strip())
+    return tables
+
+
+def _put(tables: dict[str, Any], parts: list[str], value: str) -> None:
+    """Put a value into the table that the parts of its name lead to."""
+    table = tables
+    for part in parts[:-1]:
+        inner = table.setdefault(part, {})
+        if not isinstance(inner, dict):
+            return
+        table = inner
+    table[parts[-1]] = value
+
+
+def _describe(path: Path, fault: Any) -> str:
+    """Return one fault with file, field, reason and code."""
+    field = '.'.join(str(part) for part in fault['loc'])
+    return f'{path}: {field}: {fault["msg"]} (code {SettingsError.code})'
--- /dev/null
+++ b/fuchsiafork/platform/store.py
@@ -0,0 +1,250 @@
+"""Client of the platform's store, with calls in the product's terms."""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import urllib.parse
+from typing import Any
+
+import h11
+
+from fuchsiafork.kernel.errors import StoreUnavailableError
+from fuchsiafork.transport.pool import ConnectionPool, idle_limit_s
+from fuchsiafork.transport.target import (
+    BrokenAnswerError,
+    ConnectError,
+    TargetConnection,
+)
+
+CALL_TIMEOUT_S = 2.0
+# Added to the time that a watch waits before it counts as lost.
+WATCH_MARGIN_S = 1.5
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 412
+_GONE = 410
+_NOTHING_DONE = frozenset((400, 403, 404, 429, 503))
+_MS_PER_S = 1000
+
+
+class HistoryGoneError(Exception):
+    """The changes since a revision are no longer known; list again."""
+
+
+class StoreOutcomeUnknownError(StoreUnavailableError):
+    """No answer came; a write may have taken effect, now or later."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """
+    A stored value.
+
+    :ivar revision: of its last change, 0 if the key doesn't exist.
+    :ivar value: None if the key was deleted or never existed.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """
+    Items of a listing, or changes of a watch in their order.
+
+    :ivar revision: of the store; a watch goes on after it.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Swap:
+    """
+    Outcome of a conditional write.
+
+    :ivar revision: of the write, 0 if the condition did not hold.
+    :ivar current: what is stored instead, if it did not hold.
+    """
+
+    revision: int
+    current: tuple[Item, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: Any
+
+
+class PlatformStore:
+    """Calls over kept connections, one call a connection at a time."""
+
+    def __init__(self, address: str, pool: ConnectionPool) -> None:
+        """Call the store at IP:PORT."""
+        self.address = address
+        self._pool = pool
+
+    async def read(self, key: str) -> Item:
+        """
+        Return an item.
+
+        :raises StoreUnavailableError: if the store doesn't answer.
+        """
+        query = urllib.parse.urlencode({'key': key})
+        answer = await self._call('GET', f'/api/kv-key?{query}')
+        if answer.status == _NOT_FOUND:
+            return Item(key, 0, None)
+        _require(answer, _OK)
+        return _read_item(answer.body)
+
+    async def list_items(self, prefix: str) -> Changes:
+        """
+        Return all items under a prefix.
+
+        The revision is that of the first page, so that a watch that goes
+        on after it misses no change made while later pages were read.
+
+        :raises StoreUnavailableError: if the store doesn't answer.
+        """
+        items: list[Item] = []
+        revision = 0
+        after = ''
+        while True:
+            page = await self._list_page(prefix, after)
+            items.extend(_read_item(item) for item in page['items'])
+            revision = revision or int(page['storeRevision'])
+            if not page['hasMore'] or not items:
+                return Changes(tuple(items), revision)
+            after = items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """
+        Return the changes after a revision, none if none came in time.
+
+        :raises HistoryGoneError: if the changes are no longer known.
+        :raises StoreUnavailableError: if the store doesn't answer.
+        """
+        query = urllib.parse.urlencode({
+            'prefix': prefix,
+            'after': after,
+            'waitMs': int(wait_s * _MS_PER_S),
+        })
+        answer = await self._call(
+            'GET',
+            f'/api/kv-watch?{query}',
+            timeout_s=wait_s + WATCH_MARGIN_S,
+        )
+        if answer.status == _GONE:
+            raise HistoryGoneError(prefix)
+        _require(answer, _OK)
+        items = tuple(_read_item(item) for item in answer.body['events'])
+        return Changes(items, int(answer.body['storeRevision']))
+
+    async def swap(self, key: str, revision: int, value: bytes) -> Swap:
+        """
+        Write a value if a key is still at a revision.
+
+        :raises StoreOutcomeUnknownError: if the write may have been made.
+        :raises StoreUnavailableError: if it certainly wasn't.
+        """
+        encoded = base64.b64encode(value).decode()
+        body = {
+            'expectedRev': [{'key': key, 'revision': revision}],
+            'writes': [{'key': key, 'value': encoded, 'lease': 0}],
+            'remove': [],
+        }
+        answer = await self._call('POST', '/api/kv-txn', body)
+        if answer.status == _CONFLICT:
+            current = answer.body.get('items') or ()
+            return Swap(0, tuple(_read_item(item) for item in current))
+        _require(answer, _OK)
+        return Swap(int(answer.body['revision']))
+
+    async def _list_page(self, prefix: str, after: str) -> Any:
+        """Return a page of a listing."""
+        fields = {'prefix': prefix}
+        if after:
+            fields['after'] = after
+        query = urllib.parse.urlencode(fields)
+        answer = await self._call('GET', f'/api/kv-range?{query}')
+        _require(answer, _OK)
+        return answer.body
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> _Answer:
+        """Return the answer to a call."""
+        try:
+            connection = await self._pool.take(self.address, sound=False)
+        except ConnectError as error:
+            raise StoreUnavailableError(str(error)) from None
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._exchange(connection, method, path, body)
+        except (BrokenAnswerError, ValueError, TimeoutError) as error:
+            raise StoreOutcomeUnknownError(f'{path}: {error!r}') from None
+        finally:
+            self._pool.give_back(self.address, connection)
+        return answer
+
+    async def _exchange(
+        self,
+        connection: TargetConnection,
+        method: str,
+        path: str,
+        body: Any,
+    ) -> _Answer:
+        """Return the answer to a call that goes out on a connection."""
+        payload = b'' if body is None else json.dumps(body).encode()
+        headers = [('host', self.address)]
+        if payload:
+            headers += [
+                ('content-type', 'application/json'),
+                ('content-length', str(len(payload))),
+            ]
+        request = h11.Request(method=method, target=path, headers=headers)
+        connection.send(request, payload)
+        head = await connection.next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await connection.next_event()
+        taken = bytearray()
+        event = await connection.next_event()
+        while isinstance(event, h11.Data):
+            taken += event.data
+            event = await connection.next_event()
+        told = dict(head.headers).get(b'keep-alive', b'')
+        connection.idle_limit_s = idle_limit_s(told.decode('latin-1'))
+        return _Answer(head.status_code, json.loads(taken) if taken else {})
+
+
+def _require(answer: _Answer, status: int) -> None:
+    """
+    Check an answer's status.
+
+    :raises StoreUnavailableError: if it says that nothing was done.
+    :raises StoreOutcomeUnknownError: if it is any other.
+    """
+    if answer.status == status:
+        return
+    reason = f'the store answered {answer.status}'
+    if answer.status in _NOTHING_DONE:
+        raise StoreUnavailableError(reason)
+    raise StoreOutcomeUnknownError(reason)
+
+
+def _read_item(item: Any) -> Item:
+    """Return an item, or the deletion of one, in the product's form."""
+    value = None
+    if not item.get('deleted'):
+        value = base64.b64decode(item.get('value') or '')
+    return Item(str(item['key']), int(item.get('revision') or 0), value)
--- /dev/null
+++ b/fuchsiafork/prepaid/__init__.py
@@ -0,0 +1,19 @@
+"""Prepaid tokens: a ledger in the store and grants to each VM."""
+
+from fuchsiafork.prepaid.ledger import (
+    AccountEntry,
+    Ledger,
+    decode_ledger,
+    encode_ledger,
+)
+from fuchsiafork.prepaid.purse import Change, Purse, Reservation
+
+__all__ = (
+    'AccountEntry',
+    'Change',
+    'Ledger',
+    'Purse',
+    'Reservation',
+    'decode_ledger',
+    'encode_ledger',
+)
--- a/fuchsiafork/router/application.py
+++ b/fuchsiafork/router/application.py
@@ -1,7 +1,6 @@
 """The callers' HTTP interface, as a WSGI application."""
 
 import functools
-import json
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -15,6 +14,7 @@
     RequestTooLargeError,
     StoppingError,
 )
+from fuchsiafork.kernel.refusals import refusal_body
 from fuchsiafork.router.caller import Caller, StartResponse
 from fuchsiafork.router.directory import Directory
 from fuchsiafork.router.driver import Driver
@@ -234,20 +234,6 @@
     return answer.tokens if request.engine else request.flat_tokens
 
 
-def refusal_body(request_id: str, error: FuchsiaforkError) -> bytes:
-    """Return the JSON body of a refusal."""
-    return json.dumps({
-        'error': {
-            'code': error.code,
-            'type': type(error).__name__.removesuffix('Error'),
-            'message': str(error),
-            'run_state': error.run_state,
-            'retry_safe': error.retry_safe,
-        },
-        'request_id': request_id,
-    }).encode()
-
-
 def _replay(caller: Caller, answer: Answer) -> None:
     """Send the recorded answer of an earlier request with the same key."""
     headers = {
--- /dev/null
+++ b/fuchsiafork/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections of callers and to targets, on one event loop."""
--- /dev/null
+++ b/fuchsiafork/transport/caller.py
@@ -0,0 +1,345 @@
+"""Connections of callers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import h11
+
+from fuchsiafork.transport.target import watch_silence
+
+# Bytes of further requests that are taken while one is being served.
+PIPELINED_BYTES = 65_536
+# An answer is held back in memory up to this size for a slow reader.
+UNSENT_BYTES = 131_072
+# Time in which a refused caller may still send, so that it reads the answer.
+LINGER_S = 1.0
+# A caller that takes nothing for this long loses its connection.
+STALL_S = 15.0
+
+Headers = list[tuple[str, str]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on a request and on the time that its connection is idle."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """
+    A whole request.
+
+    :ivar headers: names in lower case.
+    :ivar target: path and query as they were sent.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The path without its query."""
+        return self.target.partition('?')[0]
+
+    def header(self, name: str) -> str:
+        """Return a header, empty if there is none."""
+        return next((text for key, text in self.headers if key == name), '')
+
+
+Serve = Callable[
+    [CallerRequest, 'CallerConnection'],
+    Coroutine[Any, Any, None],
+]
+Refuse = Callable[[int, str, 'CallerConnection'], None]
+
+
+@dataclasses.dataclass(slots=True)
+class CallerServer:
+    """
+    What the connections of one listener share.
+
+    :ivar serve: answers a request.
+    :ivar refuse: answers a request that could not be read.
+    :ivar stopping: whether each answer closes its connection.
+    """
+
+    serve: Serve
+    refuse: Refuse
+    limits: Callable[[], CallerLimits]
+    stopping: bool = False
+    connections: set['CallerConnection'] = dataclasses.field(
+        default_factory=set,
+    )
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or served."""
+        return any(connection.busy for connection in self.connections)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for connection in tuple(self.connections):
+            if not connection.busy:
+                connection.close()
+
+
+class CallerConnection(asyncio.Protocol):
+    """Server side of one connection; serves its requests in turn."""
+
+    def __init__(self, server: CallerServer) -> None:
+        """Start without a transport."""
+        self._server = server
+        self._parser = h11.Connection(
+            h11.SERVER,
+            server.limits().header_bytes,
+        )
+        self._transport: asyncio.Transport | None = None
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable = asyncio.Event()
+        self._method = b''
+        self._reading = False
+        self._pipelined = 0
+        self._closing = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or served."""
+        return self._task is not None or self._reading
+
+    @property
+    def started(self) -> bool:
+        """Whether the answer has begun."""
+        return self._parser.our_state is not h11.SEND_RESPONSE
+
+    def connection_made(self, transport: Any) -> None:
+        """Wait for the first request."""
+        self._transport = transport
+        watch_silence(transport)
+        transport.set_write_buffer_limits(high=UNSENT_BYTES)
+        self._writable.set()
+        self._server.connections.add(self)
+        self._start_timer(self._server.limits().idle_timeout_s, self.close)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the request that is being served, if any."""
+        self._closing = True
+        self._server.connections.discard(self)
+        self._stop_timer()
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Take the end of the caller's side as its leaving."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Stop taking bytes of the answer."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on taking bytes of the answer."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of a request."""
+        if self._closing:
+            return
+        self._parser.receive_data(data)
+        if self._task is None:
+            self._begin_reading()
+            self._read()
+            return
+        self._pipelined += len(data)
+        if self._pipelined > PIPELINED_BYTES and self._transport:
+            self._transport.pause_reading()
+
+    def close(self) -> None:
+        """Close the connection once what was written is sent."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Break the connection off, so that the answer isn't taken as whole."""
+        self._closing = True
+        if self._transport is None:
+            return
+        if self._parser.their_http_version == b'1.0':
+            self._transport.abort()
+        else:
+            self._transport.close()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self._server.stopping or self._closing:
+            headers = [*headers, ('connection', 'close')]
+        self._send(h11.Response(status_code=status, headers=headers))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if self._method != b'HEAD':
+            self._send(h11.Data(data))
+
+    def finish(self) -> None:
+        """End the answer as a whole one."""
+        self._send(h11.EndOfMessage())
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = ('content-length', str(len(body)))
+        self.begin(status, [*headers, length])
+        if body:
+            self.write(body)
+        self.finish()
+
+    async def drain(self) -> None:
+        """Wait until a slow caller has taken enough, or lose it."""
+        try:
+            async with asyncio.timeout(STALL_S):
+                await self._writable.wait()
+        except TimeoutError:
+            if self._transport is not None:
+                self._transport.abort()
+
+    def _send(self, event: Any) -> None:
+        """Write an event of the answer."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = self._parser.send(event)
+        if data:
+            self._transport.write(data)
+
+    def _begin_reading(self) -> None:
+        """Bound the time in which the head of a request must come."""
+        if not self._reading:
+            self._reading = True
+            limit = self._server.limits().header_timeout_s
+            self._start_timer(limit, self._time_out)
+
+    def _read(self) -> None:
+        """Take the events that the bytes at hand make up."""
+        while not self._closing and self._task is None:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint or 400, str(error))
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            self._take(event)
+
+    @functools.singledispatchmethod
+    def _take(self, event: Any) -> None:
+        """Take an event; the end of the connection needs nothing."""
+
+    @_take.register
+    def _(self, event: h11.Request) -> None:
+        self._head = event
+        self._method = event.method
+        self._body.clear()
+        limits = self._server.limits()
+        self._start_timer(limits.idle_timeout_s, self._time_out)
+        if _content_length(event) > limits.body_bytes:
+            self._reject(413, 'the body is over the bound')
+        elif self._parser.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    @_take.register
+    def _(self, event: h11.Data) -> None:
+        self._body += event.data
+        if len(self._body) > self._server.limits().body_bytes:
+            self._reject(413, 'the body is over the bound')
+
+    @_take.register
+    def _(self, event: h11.EndOfMessage) -> None:
+        head, self._head = self._head, None
+        if head is None:
+            return
+        self._reading = False
+        request = CallerRequest(
+            method=head.method.decode('latin-1'),
+            target=head.target.decode('latin-1'),
+            headers=tuple(
+                (name.decode('latin-1'), text.decode('latin-1'))
+                for name, text in head.headers
+            ),
+            body=bytes(self._body),
+        )
+        self._body.clear()
+        self._stop_timer()
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._server.serve(request, self))
+        self._task.add_done_callback(self._end_request)
+
+    def _end_request(self, task: asyncio.Task[None]) -> None:
+        """Go on with the next request, or close the connection."""
+        self._task = None
+        if not task.cancelled() and task.exception() is not None:
+            self.abort()
+        if self._closing:
+            self.close()
+            return
+        done = (self._parser.our_state, self._parser.their_state)
+        if done != (h11.DONE, h11.DONE):
+            self.abort()
+            return
+        self._parser.start_next_cycle()
+        if self._transport is not None and not self._transport.is_reading():
+            self._transport.resume_reading()
+        self._start_timer(self._server.limits().idle_timeout_s, self.close)
+        if self._pipelined:
+            self._pipelined = 0
+            self._begin_reading()
+            self._read()
+
+    def _time_out(self) -> None:
+        """Refuse a request that takes too long to come."""
+        self._reject(408, 'the request did not come in time')
+
+    def _reject(self, status: int, reason: str) -> None:
+        """Refuse what can't be read, and take no more of it."""
+        self._closing = True
+        self._stop_timer()
+        if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            self._server.refuse(status, reason, self)
+        if self._transport is None:
+            return
+        with contextlib.suppress(OSError, RuntimeError):
+            self._transport.write_eof()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(LINGER_S, self._transport.abort)
+
+    def _start_timer(self, seconds: float, call: Callable[[], None]) -> None:
+        """Call a function later, in place of the one that waited."""
+        self._stop_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, call)
+
+    def _stop_timer(self) -> None:
+        """Forget the function that waits to be called."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def _content_length(head: h11.Request) -> int:
+    """Return the announced length of a body, 0 if none is."""
+    for name, text in head.headers:
+        if name == b'content-length':
+            return int(text)
+    return 0
