--- a/fuchsiafork/gateway/answering.py
+++ b/fuchsiafork/gateway/answering.py
@@ -28,6 +28,9 @@
 HEAD_PATIENCE_S = 1.0
 GAP_PATIENCE = 4.0
 GAP_PATIENCE_S = 1.0
+# Prompt tokens by which the urgency falls by one, and the last of its ranks.
+URGENCY_TOKENS = 1500
+MOST_URGENCY = 9
 
 _Read = TypeVar('_Read')
 _EVENT_STREAM = 'text/event-stream'
@@ -146,6 +149,7 @@
             call.row.target.target_id,
             remaining_s,
             self._relay.last_id,
+            self._urgency,
         )
         sound = not self._route.repeatable
         await call.send(self._request, headers, sound=sound)
@@ -174,6 +178,13 @@
         patience = max(HEAD_PATIENCE_S, HEAD_PATIENCE * self._route.slo_s)
         return await within(patience, call.read_head(request_id))
 
+    @property
+    def _urgency(self) -> int | None:
+        """Rank of the request in an engine's batch, 0 first."""
+        if not self._facts.prompt_tokens:
+            return None
+        return rank_by_size(self._facts.prompt_tokens)
+
     @property
     def _may_repeat(self) -> bool:
         """Whether another target may be asked after this one."""
@@ -229,6 +240,11 @@
         )
 
 
+def rank_by_size(prompt_tokens: int) -> int:
+    """Return the urgency of a prompt: short ones are read first."""
+    return min(MOST_URGENCY, prompt_tokens // URGENCY_TOKENS)
+
+
 def judge(answer: HeldAnswer) -> Failure | None:
     """Return why a whole answer is no service, None if it is to be sent."""
     head = answer.head
--- a/fuchsiafork/gateway/exchange.py
+++ b/fuchsiafork/gateway/exchange.py
@@ -9,6 +9,7 @@
 from fuchsiafork.gateway.call import TargetCall
 from fuchsiafork.gateway.catalog import Account, Catalog, Route
 from fuchsiafork.gateway.money import Money
+from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.placement import Placement, Wanted
 from fuchsiafork.gateway.repeats import RepeatBudget
 from fuchsiafork.gateway.targets import TargetRow, TargetTable
@@ -53,6 +54,7 @@
     pool: ConnectionPool
     placement: Placement
     repeats: RepeatBudget
+    peers: Peers
     money: Money
     catalog: Catalog | None = None
 
--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.kernel import Clock
 from fuchsiafork.kernel.errors import (
     BudgetExhaustedError,
@@ -35,6 +36,8 @@
 WAIT_S = 1.0
 WAIT_SHARE = 0.3
 RETRY_AFTER_S = 1.0
+# Other VMs that are asked for the tokens of one request.
+MOST_ASKED = 3
 
 
 class Money:
@@ -43,6 +46,7 @@
     def __init__(
         self,
         purse: Purse,
+        peers: Peers,
         store: PlatformStore,
         clock: Clock,
         chance: random.Random,
@@ -50,6 +54,7 @@
     ) -> None:
         """Start before the first write."""
         self._purse = purse
+        self._peers = peers
         self._store = store
         self._clock = clock
         self._chance = chance
@@ -84,6 +89,8 @@
                 return reservation
             if self._purse.exhausted(account, tokens):
                 raise BudgetExhaustedError(f'less than {tokens} tokens left')
+            if await self._ask_peers(account, tokens):
+                continue
             left = until - self._clock.now()
             if left <= 0 or not self._reached:
                 raise self._unreachable(tokens)
@@ -116,6 +123,18 @@
         changed = self._purse.unsettled or self._purse.lacking
         return changed or not self._reached
 
+    async def _ask_peers(self, account: str, tokens: int) -> bool:
+        """Return whether other VMs have given enough tokens."""
+        addresses = self._purse.richest(account, self._clock.wall())
+        for address in addresses[:MOST_ASKED]:
+            missing = tokens - self._purse.available(account)
+            if missing <= 0:
+                break
+            given = await self._peers.ask(address, account, missing)
+            if given:
+                self._purse.receive(account, given)
+        return self._purse.available(account) >= tokens
+
     async def _wait_round(self, seconds: float) -> None:
         """Wait for the end of the next write, or some seconds."""
         self._due.set()
--- /dev/null
+++ b/fuchsiafork/gateway/peers.py
@@ -0,0 +1,58 @@
+"""Calls between the VMs of the fleet."""
+
+import json
+from typing import Any
+
+from fuchsiafork.prepaid import Purse
+from fuchsiafork.transport.caller import CallerConnection, CallerRequest
+from fuchsiafork.transport.json_call import JsonCall, call_json
+from fuchsiafork.transport.pool import ConnectionPool
+from fuchsiafork.transport.target import BrokenAnswerError, ConnectError
+
+TOKENS_PATH = '/tokens'
+# A VM that doesn't answer in this time is not worth a longer wait.
+ASK_TIMEOUT_S = 0.15
+
+_OK = 200
+
+
+class Peers:
+    """Asks other VMs, and answers them."""
+
+    def __init__(self, purse: Purse, pool: ConnectionPool, log: Any) -> None:
+        """Give tokens from a purse."""
+        self._purse = purse
+        self._pool = pool
+        self._log = log
+
+    async def ask(self, address: str, account: str, tokens: int) -> int:
+        """Return how many tokens another VM has given."""
+        call = JsonCall('POST', TOKENS_PATH, [account, tokens])
+        try:
+            answer = await call_json(
+                self._pool,
+                address,
+                call,
+                ASK_TIMEOUT_S,
+            )
+        except (BrokenAnswerError, ConnectError) as error:
+            self._log.info('peer_silent', peer=address, reason=str(error))
+            return 0
+        given = answer.body if answer.status == _OK else 0
+        return given if isinstance(given, int) else 0
+
+    async def serve(
+        self,
+        request: CallerRequest,
+        caller: CallerConnection,
+    ) -> None:
+        """Answer another VM."""
+        try:
+            account, tokens = json.loads(request.body)
+        except (ValueError, TypeError) as error:
+            self._log.info('peer_unreadable', reason=repr(error))
+            caller.answer(400, [], b'')
+            return
+        given = self._purse.give(str(account), int(tokens))
+        self._log.info('tokens_given', account=account, tokens=given)
+        caller.answer(200, [], str(given).encode())
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -11,6 +11,7 @@
 from fuchsiafork.gateway.catalog import Catalog, Limits
 from fuchsiafork.gateway.exchange import Exchange, Services
 from fuchsiafork.gateway.money import Money
+from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.placement import Placement
 from fuchsiafork.gateway.registry import ConfigurationFeed, TargetFeed
 from fuchsiafork.gateway.repeats import RepeatBudget
@@ -83,6 +84,11 @@
             self._reject,
             self._limits,
         )
+        self._peers = CallerServer(
+            self._services.peers.serve,
+            self._reject,
+            self._limits,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -110,6 +116,7 @@
         for address, server in (
             (self._settings.listen.callers, self._callers),
             (self._settings.listen.readiness, self._readiness),
+            (self._settings.peer_address, self._peers),
         ):
             host, _, port = address.rpartition(':')
             await loop.create_server(
@@ -141,6 +148,8 @@
         clock, chance, log = self._clock, self._chance, self._log
         store = PlatformStore(settings.store.address, self._pool)
         holder = f'{settings.vm}#{secrets.token_hex(4)}'
+        purse = Purse(holder, settings.peer_address)
+        peers = Peers(purse, self._pool, log)
         table = TargetTable()
         self._configured = Watcher(
             names.OPERATOR_PREFIX,
@@ -170,7 +179,8 @@
                 bounds.retry_extra,
                 bounds.retry_window_s,
             ),
-            money=Money(Purse(holder), store, clock, chance, log),
+            peers=peers,
+            money=Money(purse, peers, store, clock, chance, log),
         )
 
     def _apply(self, catalog: Catalog) -> None:
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -93,6 +93,7 @@
     target_id: str,
     time_left_s: float,
     last_event_id: str = _EMPTY,
+    urgency: int | None = None,
 ) -> list[tuple[str, str]]:
     """Return the headers with which a request goes to a target."""
     dropped = _dropped(headers) | names.OWN_HEADERS
@@ -101,6 +102,8 @@
     sent = [pair for pair in headers if pair[0] not in dropped]
     left_ms = str(int(time_left_s * _MS_PER_S))
     sent += [(names.TIME_LEFT_MS, left_ms), (names.EXPECTED_TARGET, target_id)]
+    if urgency is not None:
+        sent.append((names.URGENCY, str(urgency)))
     if account:
         sent.append((names.ACCOUNT, account))
     if last_event_id:
--- a/fuchsiafork/platform/settings.py
+++ b/fuchsiafork/platform/settings.py
@@ -68,10 +68,18 @@
         alias='zones',
         default_factory=dict,
     )
+    ip: str
+    # First and last port for traffic between the VMs.
+    inner_ports: str = pydantic.Field(alias='internalPorts')
     listen: Listen
     store: StoreSection = pydantic.Field(alias='platform')
     bounds: Bounds = Bounds.model_validate({})
 
+    @property
+    def peer_address(self) -> str:
+        """Address for calls from other VMs, IP:PORT."""
+        return f'{self.ip}:{self.inner_ports.partition(",")[0]}'
+
 
 def settings_path() -> Path:
     """Return the path of the settings file."""
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -1,21 +1,14 @@
 """Client of the platform's store, with calls in the product's terms."""
 
-import asyncio
 import base64
 import dataclasses
-import json
 import urllib.parse
 from typing import Any
 
-import h11
-
 from fuchsiafork.kernel.errors import StoreUnavailableError
-from fuchsiafork.transport.pool import ConnectionPool, idle_limit_s
-from fuchsiafork.transport.target import (
-    BrokenAnswerError,
-    ConnectError,
-    TargetConnection,
-)
+from fuchsiafork.transport.json_call import JsonAnswer, JsonCall, call_json
+from fuchsiafork.transport.pool import ConnectionPool
+from fuchsiafork.transport.target import BrokenAnswerError, ConnectError
 
 CALL_TIMEOUT_S = 2.0
 # Added to the time that a watch waits before it counts as lost.
@@ -76,12 +69,6 @@
     current: tuple[Item, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Answer:
-    status: int
-    body: Any
-
-
 class PlatformStore:
     """Calls over kept connections, one call a connection at a time."""
 
@@ -182,52 +169,23 @@
         path: str,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> _Answer:
+    ) -> JsonAnswer:
         """Return the answer to a call."""
         try:
-            connection = await self._pool.take(self.address, sound=False)
+            answer = await call_json(
+                self._pool,
+                self.address,
+                JsonCall(method, path, body),
+                timeout_s,
+            )
         except ConnectError as error:
             raise StoreUnavailableError(str(error)) from None
-        try:
-            async with asyncio.timeout(timeout_s):
-                answer = await self._exchange(connection, method, path, body)
-        except (BrokenAnswerError, ValueError, TimeoutError) as error:
-            raise StoreOutcomeUnknownError(f'{path}: {error!r}') from None
-        finally:
-            self._pool.give_back(self.address, connection)
+        except BrokenAnswerError as error:
+            raise StoreOutcomeUnknownError(f'{path}: {error}') from None
         return answer
 
-    async def _exchange(
-        self,
-        connection: TargetConnection,
-        method: str,
-        path: str,
-        body: Any,
-    ) -> _Answer:
-        """Return the answer to a call that goes out on a connection."""
-        payload = b'' if body is None else json.dumps(body).encode()
-        headers = [('host', self.address)]
-        if payload:
-            headers += [
-                ('content-type', 'application/json'),
-                ('content-length', str(len(payload))),
-            ]
-        request = h11.Request(method=method, target=path, headers=headers)
-        connection.send(request, payload)
-        head = await connection.next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await connection.next_event()
-        taken = bytearray()
-        event = await connection.next_event()
-        while isinstance(event, h11.Data):
-            taken += event.data
-            event = await connection.next_event()
-        told = dict(head.headers).get(b'keep-alive', b'')
-        connection.idle_limit_s = idle_limit_s(told.decode('latin-1'))
-        return _Answer(head.status_code, json.loads(taken) if taken else {})
-
-
-def _require(answer: _Answer, status: int) -> None:
+
+def _require(answer: JsonAnswer, status: int) -> None:
     """
     Check an answer's status.
 
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -49,11 +49,13 @@
         write whose answer was lost took effect.
     :ivar times: Unix seconds of each holder's last write. They only serve
         to size grants, so a wrong clock can't lead to overspending.
+    :ivar addresses: where other VMs ask each holder for tokens, IP:PORT.
     """
 
     accounts: dict[str, AccountEntry] = dataclasses.field(default_factory=dict)
     writes: dict[str, int] = dataclasses.field(default_factory=dict)
     times: dict[str, int] = dataclasses.field(default_factory=dict)
+    addresses: dict[str, str] = dataclasses.field(default_factory=dict)
 
     def live(self, now: float) -> list[str]:
         """Return the holders that have written lately."""
@@ -78,6 +80,7 @@
         'accounts': accounts,
         'writes': ledger.writes,
         'times': ledger.times,
+        'addresses': ledger.addresses,
     }
     return json.dumps(stored, separators=(',', ':')).encode()
 
@@ -110,6 +113,7 @@
         accounts,
         _read_counts(stored['writes']),
         _read_counts(stored['times']),
+        {name: str(text) for name, text in stored['addresses'].items()},
     )
 
 
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -18,6 +18,9 @@
 KEEP_FACTOR = 2.0
 SCARCE_FACTOR = 1.15
 SCARCE_SHARE = 0.15
+# Another VM that asks for tokens gets this part of the rest besides, so that
+# it need not ask for each request.
+SPARE_DIVISOR = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,9 +80,14 @@
 class Purse:
     """Reserves, settles and plans the writes that renew the grants."""
 
-    def __init__(self, holder: str) -> None:
-        """Start without tokens, as a holder that never wrote."""
+    def __init__(self, holder: str, address: str = '') -> None:
+        """
+        Start without tokens, as a holder that never wrote.
+
+        :param address: IP:PORT at which other VMs ask for tokens.
+        """
         self._holder = holder
+        self._address = address
         self._pockets: dict[str, _Pocket] = {}
         self._unknown: list[Change] = []
         self._number = 0
@@ -150,6 +158,41 @@
         pocket.reserved -= reservation.tokens
         pocket.used += min(tokens, reservation.tokens)
 
+    def give(self, account: str, tokens: int) -> int:
+        """
+        Return how many tokens another VM gets of those at hand.
+
+        They count as used here and as unused there. The sum in the ledger
+        stays the same whichever of both writes first, and a lost answer
+        strands tokens but never doubles them.
+        """
+        available = self.available(account)
+        if self._leaving:
+            given = available
+        else:
+            given = min(available, tokens + available // SPARE_DIVISOR)
+        if given < min(tokens, 1):
+            return 0
+        self._pockets[account].used += given
+        return given
+
+    def receive(self, account: str, tokens: int) -> None:
+        """Add tokens that another VM has given."""
+        self._pockets.setdefault(account, _Pocket()).used -= tokens
+
+    def richest(self, account: str, wall: float) -> list[str]:
+        """Return addresses of VMs that may have tokens, the richest first."""
+        if self._known is None:
+            return []
+        grants = self._known.entry(account).grants
+        holders = [
+            holder
+            for holder in self._known.live(wall)
+            if holder != self._holder and grants.get(holder, 0) > 0
+        ]
+        holders.sort(key=lambda holder: grants[holder], reverse=True)
+        return [self._known.addresses[holder] for holder in holders]
+
     def exhausted(self, account: str, tokens: int) -> bool:
         """
         Return whether the budget can't cover a cost, whoever holds it.
@@ -201,6 +244,7 @@
         self._number += 1
         ledger.writes[self._holder] = self._number
         ledger.times[self._holder] = int(wall)
+        ledger.addresses[self._holder] = self._address
         live = ledger.live(wall)
         settled: dict[str, int] = {}
         granted: dict[str, int] = {}
