--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -28,7 +28,7 @@
 
     :ivar spent: settled tokens of all holders.
     :ivar grants: tokens that each holder may still spend.
-    :ivar demands: tokens a second that each holder has reserved lately.
+    :ivar demands: tokens a second that each holder has spent lately.
     """
 
     spent: int = 0
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -7,9 +7,12 @@
 
 # Time constant of the demand's average, seconds.
 DEMAND_S = 8.0
-# Share of the tokens that are left which the live VMs hold together, so that
-# they go on serving while the store is away. The rest is for the one that
-# runs short, and bounds what is withheld when many die at once.
+# Seconds of the fleet's demand that the live VMs hold together, so that they
+# go on serving while the store is away. What they hold when they die stays
+# withheld, so it is no more than that.
+HORIZON_S = 13.0
+# Bounds on what they hold together, as shares of the tokens that are left.
+LEAST_HELD_SHARE = 0.3
 HELD_SHARE = 0.7
 # Part of a VM's share that goes by its demand; the rest is equal for all.
 BY_DEMAND = 0.6
@@ -44,8 +47,8 @@
     :ivar granted: grant in the last record known to be stored.
     :ivar used: settled tokens that are not in that record.
     :ivar reserved: most that the open requests may cost.
-    :ivar demand: average of tokens reserved a second.
-    :ivar counted: tokens reserved since the average was last taken.
+    :ivar demand: average of tokens spent a second.
+    :ivar counted: tokens spent since the average was last taken.
     :ivar lacked: largest reservation that was refused since the last write.
     :ivar frozen: whether nothing is spent until the next write, since the
         budget was lowered.
@@ -92,6 +95,7 @@
         self._unknown: list[Change] = []
         self._number = 0
         self._leaving = False
+        self._age_s = 0.0
         self._known: Ledger | None = None
         self._prepaid: dict[str, int] = {}
 
@@ -145,8 +149,8 @@
         if self.available(account) < tokens:
             pocket.lacked = max(pocket.lacked, tokens)
             return None
-        pocket.counted += tokens
         pocket.reserved += tokens
+        pocket.counted += tokens
         return Reservation(account, tokens)
 
     def settle(self, reservation: Reservation, tokens: int) -> None:
@@ -156,7 +160,9 @@
         reservation.open = False
         pocket = self._pockets[reservation.account]
         pocket.reserved -= reservation.tokens
-        pocket.used += min(tokens, reservation.tokens)
+        cost = min(tokens, reservation.tokens)
+        pocket.used += cost
+        pocket.counted += cost - reservation.tokens
 
     def give(self, account: str, tokens: int) -> int:
         """
@@ -208,10 +214,17 @@
         """Average the demand over the time since the last call."""
         if elapsed_s <= 0:
             return
-        weight = 1 - math.exp(-elapsed_s / DEMAND_S)
+        if self._age_s or any(row.counted for row in self._pockets.values()):
+            self._age_s += elapsed_s
+        # The weight of a plain mean while there is little to average over.
+        weight = max(
+            1 - math.exp(-elapsed_s / DEMAND_S),
+            min(1.0, elapsed_s / max(self._age_s, elapsed_s)),
+        )
         for pocket in self._pockets.values():
             rate = pocket.counted / elapsed_s
             pocket.demand += weight * (rate - pocket.demand)
+            pocket.demand = max(0.0, pocket.demand)
             pocket.counted = 0
 
     def learn(self, ledger: Ledger, revision: int) -> None:
@@ -306,7 +319,8 @@
             return max(pocket.reserved, kept + free)
         held = sum(entry.grants.get(holder, 0) for holder in live)
         weight = _weight(entry, self._holder, live)
-        target = int(HELD_SHARE * (free + held) * weight) + pocket.reserved
+        target = int(_held_together(entry, free + held, live) * weight)
+        target += pocket.reserved
         wanted = max(target, pocket.reserved + pocket.lacked)
         if kept < wanted:
             return kept + min(wanted - kept, free)
@@ -315,6 +329,13 @@
         return wanted if kept > factor * wanted else kept
 
 
+def _held_together(entry: AccountEntry, left: int, live: list[str]) -> float:
+    """Return the tokens that the live VMs hold beside their reservations."""
+    demand = sum(entry.demands.get(holder, 0) for holder in live)
+    least, most = LEAST_HELD_SHARE * left, HELD_SHARE * left
+    return min(max(HORIZON_S * demand, least), most)
+
+
 def _weight(entry: AccountEntry, holder: str, live: list[str]) -> float:
     """Return a holder's part of what the live ones hold together."""
     equal = 1 / max(1, len(live))
