--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -65,11 +65,24 @@
             if abs(now - time) <= LIVE_S
         ]
 
+    def retire(self, holder: str) -> None:
+        """Count a VM's earlier processes as gone when grants are sized."""
+        vm = _vm(holder)
+        for name in tuple(self.times):
+            if name != holder and _vm(name) == vm:
+                self.times.pop(name)
+                self.addresses.pop(name, None)
+
     def entry(self, account: str) -> AccountEntry:
         """Return the entry of an account, a new one if there is none."""
         return self.accounts.setdefault(account, AccountEntry())
 
 
+def _vm(holder: str) -> str:
+    """Return the VM that a holder runs on."""
+    return holder.partition('#')[0]
+
+
 def encode_ledger(ledger: Ledger) -> bytes:
     """Return a ledger in the form that is stored."""
     accounts = {
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -10,15 +10,15 @@
 # Seconds of the fleet's demand that the live VMs hold together, so that they
 # go on serving while the store is away. What they hold when they die stays
 # withheld, so it is no more than that.
-HORIZON_S = 13.0
+HORIZON_S = 11.0
 # Bounds on what they hold together, as shares of the tokens that are left.
-LEAST_HELD_SHARE = 0.3
-HELD_SHARE = 0.7
+LEAST_HELD_SHARE = 0.22
+HELD_SHARE = 0.6
 # Part of a VM's share that goes by its demand; the rest is equal for all.
 BY_DEMAND = 0.6
 # A grant is lowered when it is this many times larger than its target, or
 # than SCARCE_FACTOR times, when little is free for others.
-KEEP_FACTOR = 2.0
+KEEP_FACTOR = 1.25
 SCARCE_FACTOR = 1.15
 SCARCE_SHARE = 0.15
 # Another VM that asks for tokens gets this part of the rest besides, so that
@@ -258,6 +258,7 @@
         ledger.writes[self._holder] = self._number
         ledger.times[self._holder] = int(wall)
         ledger.addresses[self._holder] = self._address
+        ledger.retire(self._holder)
         live = ledger.live(wall)
         settled: dict[str, int] = {}
         granted: dict[str, int] = {}
