--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -27,7 +27,7 @@
 
 LEDGER_KEY = 'fuchsiafork/ledger'
 # Seconds between two writes while tokens are used.
-SYNC_S = 2.5
+SYNC_S = 1.5
 # Least seconds between two writes, when requests wait for tokens.
 SHORTAGE_SYNC_S = 0.3
 # Writes tried in a row when other VMs write at the same time.
@@ -125,7 +125,7 @@
 
     async def _ask_peers(self, account: str, tokens: int) -> bool:
         """Return whether other VMs have given enough tokens."""
-        addresses = self._purse.richest(account, self._clock.wall())
+        addresses = self._purse.richest(account)
         for address in addresses[:MOST_ASKED]:
             missing = tokens - self._purse.available(account)
             if missing <= 0:
@@ -176,11 +176,7 @@
         """Return what is stored instead if the record has changed."""
         ledger = decode_ledger(item.value or b'')
         self._purse.learn(ledger, item.revision)
-        change = self._purse.plan(
-            ledger,
-            item.revision,
-            self._clock.wall(),
-        )
+        change = self._purse.plan(ledger, item.revision)
         try:
             swap = await self._store.swap(
                 LEDGER_KEY,
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -148,7 +148,7 @@
         clock, chance, log = self._clock, self._chance, self._log
         store = PlatformStore(settings.store.address, self._pool)
         holder = f'{settings.vm}#{secrets.token_hex(4)}'
-        purse = Purse(holder, settings.peer_address)
+        purse = Purse(holder, settings.peer_address, clock)
         peers = Peers(purse, self._pool, log)
         table = TargetTable()
         self._configured = Watcher(
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -2,10 +2,9 @@
 The ledger record: what each client account has spent, and who may spend more.
 
 One record in the platform's store holds all accounts. For each account,
-``spent`` plus the sum of ``grants`` never exceeds the prepaid tokens at the
-time of a grant. A grant is never taken from its holder by others, so neither
-a pause nor a late write of a holder can lead to overspending; what a holder
-that dies had left stays withheld.
+``spent`` plus the sum of the grants never exceeds the prepaid tokens at the
+time of a grant. A grant is never taken from a live holder by others, so
+neither a pause nor a late write of a holder can lead to overspending.
 """
 
 import dataclasses
@@ -19,6 +18,26 @@
 # A holder that hasn't written for this long counts as gone when grants are
 # sized; it keeps its grant all the same.
 LIVE_S = 20.0
+# A process that started on a VM within this time of the last write of the
+# process before it knows that that one has spent no more than its window.
+RECLAIM_S = 4.5
+# Clocks may differ by this much when a process starts after its predecessor.
+_CLOCK_SLACK_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Share:
+    """
+    A holder's part of one account.
+
+    :ivar grant: tokens that it may still spend.
+    :ivar window: those of them that it may spend soon after its last write.
+    :ivar demand: tokens a second that it has spent lately.
+    """
+
+    grant: int = 0
+    window: int = 0
+    demand: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,74 +46,109 @@
     One account's tokens.
 
     :ivar spent: settled tokens of all holders.
-    :ivar grants: tokens that each holder may still spend.
-    :ivar demands: tokens a second that each holder has spent lately.
+    :ivar shares: by holder.
     """
 
     spent: int = 0
-    grants: dict[str, int] = dataclasses.field(default_factory=dict)
-    demands: dict[str, int] = dataclasses.field(default_factory=dict)
+    shares: dict[str, Share] = dataclasses.field(default_factory=dict)
 
     def free(self, prepaid: int) -> int:
         """Return the tokens that nobody has spent or may spend."""
-        return prepaid - self.spent - sum(self.grants.values())
+        granted = sum(share.grant for share in self.shares.values())
+        return prepaid - self.spent - granted
+
+    def share(self, holder: str) -> Share:
+        """Return a holder's share, empty if it has none."""
+        return self.shares.get(holder) or Share()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moment:
+    """
+    A time by two clocks of one VM, seconds.
+
+    :ivar wall: Unix time, which may jump.
+    :ivar boot: time since the VM's start, suspension included.
+    """
+
+    wall: float
+    boot: float
 
 
 @dataclasses.dataclass(slots=True)
-class Ledger:
+class Holder:
     """
-    The record as a whole.
+    One process that may spend.
 
-    :ivar writes: number of each holder's last write, which tells whether a
-        write whose answer was lost took effect.
-    :ivar times: Unix seconds of each holder's last write. They only serve
-        to size grants, so a wrong clock can't lead to overspending.
-    :ivar addresses: where other VMs ask each holder for tokens, IP:PORT.
+    :ivar write: number of its last write, which tells whether a write whose
+        answer was lost took effect.
+    :ivar written: when it sent that write.
+    :ivar address: where other VMs ask it for tokens, IP:PORT.
     """
 
+    write: int
+    written: Moment
+    address: str
+
+
+@dataclasses.dataclass(slots=True)
+class Ledger:
+    """The record as a whole."""
+
     accounts: dict[str, AccountEntry] = dataclasses.field(default_factory=dict)
-    writes: dict[str, int] = dataclasses.field(default_factory=dict)
-    times: dict[str, int] = dataclasses.field(default_factory=dict)
-    addresses: dict[str, str] = dataclasses.field(default_factory=dict)
+    holders: dict[str, Holder] = dataclasses.field(default_factory=dict)
 
-    def live(self, now: float) -> list[str]:
+    def live(self, wall: float) -> list[str]:
         """Return the holders that have written lately."""
         return [
-            holder
-            for holder, time in self.times.items()
-            if abs(now - time) <= LIVE_S
+            name
+            for name, holder in self.holders.items()
+            if abs(wall - holder.written.wall) <= LIVE_S
         ]
 
-    def retire(self, holder: str) -> None:
-        """Count a VM's earlier processes as gone when grants are sized."""
-        vm = _vm(holder)
-        for name in tuple(self.times):
-            if name != holder and _vm(name) == vm:
-                self.times.pop(name)
-                self.addresses.pop(name, None)
-
     def entry(self, account: str) -> AccountEntry:
         """Return the entry of an account, a new one if there is none."""
         return self.accounts.setdefault(account, AccountEntry())
 
-
-def _vm(holder: str) -> str:
-    """Return the VM that a holder runs on."""
-    return holder.partition('#')[0]
+    def retire(self, successor: str, started: Moment) -> None:
+        """
+        Drop the earlier processes of a holder's VM.
+
+        What they had left outside their windows is free again if the
+        successor started soon enough. The windows stay withheld, since
+        nobody knows how much of them was spent.
+        """
+        vm = _vm(successor)
+        for name in tuple(self.holders):
+            if name != successor and _vm(name) == vm:
+                gone = self.holders.pop(name)
+                if _is_soon(gone.written, started):
+                    self._reclaim(name)
+
+    def _reclaim(self, holder: str) -> None:
+        """Leave a holder that ended no more than its windows."""
+        for entry in self.accounts.values():
+            share = entry.shares.get(holder)
+            if share is not None:
+                share.grant = min(share.grant, share.window)
 
 
 def encode_ledger(ledger: Ledger) -> bytes:
     """Return a ledger in the form that is stored."""
     accounts = {
-        name: [entry.spent, entry.grants, entry.demands]
+        name: [entry.spent, _encode_shares(entry.shares)]
         for name, entry in ledger.accounts.items()
     }
-    stored = {
-        'accounts': accounts,
-        'writes': ledger.writes,
-        'times': ledger.times,
-        'addresses': ledger.addresses,
+    holders = {
+        name: [
+            holder.write,
+            round(holder.written.wall, 2),
+            round(holder.written.boot, 2),
+            holder.address,
+        ]
+        for name, holder in ledger.holders.items()
     }
+    stored = {'accounts': accounts, 'holders': holders}
     return json.dumps(stored, separators=(',', ':')).encode()
 
 
@@ -115,21 +169,50 @@
 def _read(stored: Any) -> Ledger:
     """Return the ledger in a decoded value."""
     accounts = {
-        name: AccountEntry(
-            int(spent),
-            _read_counts(grants),
-            _read_counts(demands),
+        name: AccountEntry(int(spent), _read_shares(shares))
+        for name, (spent, shares) in stored['accounts'].items()
+    }
+    holders = {
+        name: Holder(
+            int(write),
+            Moment(float(wall), float(boot)),
+            str(address),
         )
-        for name, (spent, grants, demands) in stored['accounts'].items()
+        for name, (write, wall, boot, address) in stored['holders'].items()
+    }
+    return Ledger(accounts, holders)
+
+
+def _encode_shares(shares: dict[str, Share]) -> dict[str, list[int]]:
+    """Return shares in the form that is stored, empty ones left out."""
+    return {
+        holder: [share.grant, share.window, share.demand]
+        for holder, share in shares.items()
+        if share.grant or share.demand
+    }
+
+
+def _read_shares(stored: Any) -> dict[str, Share]:
+    """Return the shares in a decoded value."""
+    return {
+        holder: Share(int(grant), int(window), int(demand))
+        for holder, (grant, window, demand) in stored.items()
     }
-    return Ledger(
-        accounts,
-        _read_counts(stored['writes']),
-        _read_counts(stored['times']),
-        {name: str(text) for name, text in stored['addresses'].items()},
-    )
 
 
-def _read_counts(stored: dict[str, Any]) -> dict[str, int]:
-    """Return numbers by name."""
-    return {name: int(count) for name, count in stored.items()}
+def _is_soon(written: Moment, started: Moment) -> bool:
+    """
+    Return whether a process started soon after another's last write.
+
+    Either clock alone may be off: the calendar time may jump, the time
+    since the start of the VM begins anew after a loss of power.
+    """
+    by_wall = started.wall - written.wall
+    by_boot = started.boot - written.boot
+    plausible = -_CLOCK_SLACK_S <= by_wall <= RECLAIM_S
+    return plausible and by_boot <= RECLAIM_S
+
+
+def _vm(holder: str) -> str:
+    """Return the VM that a holder runs on."""
+    return holder.partition('#')[0]
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -3,27 +3,24 @@
 import dataclasses
 import math
 
-from fuchsiafork.prepaid.ledger import AccountEntry, Ledger
+from fuchsiafork.kernel import Clock
+from fuchsiafork.prepaid.ledger import (
+    AccountEntry,
+    Holder,
+    Ledger,
+    Moment,
+    Share,
+)
+from fuchsiafork.prepaid.sizing import Need, Sizing
 
 # Time constant of the demand's average, seconds.
 DEMAND_S = 8.0
-# Seconds of the fleet's demand that the live VMs hold together, so that they
-# go on serving while the store is away. What they hold when they die stays
-# withheld, so it is no more than that.
-HORIZON_S = 11.0
-# Bounds on what they hold together, as shares of the tokens that are left.
-LEAST_HELD_SHARE = 0.22
-HELD_SHARE = 0.6
-# Part of a VM's share that goes by its demand; the rest is equal for all.
-BY_DEMAND = 0.6
-# A grant is lowered when it is this many times larger than its target, or
-# than SCARCE_FACTOR times, when little is free for others.
-KEEP_FACTOR = 1.25
-SCARCE_FACTOR = 1.15
-SCARCE_SHARE = 0.15
 # Another VM that asks for tokens gets this part of the rest besides, so that
 # it need not ask for each request.
 SPARE_DIVISOR = 4
+# For so long after it sent a write, a process spends only its windows. This
+# is longer than `ledger.RECLAIM_S` by more than a clock may jump.
+WINDOW_ONLY_S = 7.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,6 +42,7 @@
     One account's tokens in this process.
 
     :ivar granted: grant in the last record known to be stored.
+    :ivar window: window in that record.
     :ivar used: settled tokens that are not in that record.
     :ivar reserved: most that the open requests may cost.
     :ivar demand: average of tokens spent a second.
@@ -55,6 +53,7 @@
     """
 
     granted: int = 0
+    window: int = 0
     used: int = 0
     reserved: int = 0
     demand: float = 0.0
@@ -62,28 +61,48 @@
     lacked: int = 0
     frozen: bool = False
 
+    def limit(self, *, whole: bool) -> int:
+        """Return the tokens that may be spent on the last stored record."""
+        return self.granted if whole else self.window
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled:
+    """
+    One account in a write of the ledger.
+
+    :ivar used: tokens moved from the grant to the account's spent ones.
+    :ivar granted: grant after the write.
+    :ivar window: window after the write.
+    """
+
+    used: int
+    granted: int
+    window: int
+
+    def limit(self, *, whole: bool) -> int:
+        """Return the tokens that may be spent, had the write taken effect."""
+        return self.used + (self.granted if whole else self.window)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
     """
     What one write of the ledger does to this process's grants.
 
-    :ivar number: of the write, in `Ledger.writes`.
+    :ivar number: of the write.
     :ivar base: revision of the record that the write replaces.
-    :ivar settled: tokens moved from the grant to the account's spent ones.
-    :ivar granted: grant by account after the write.
     """
 
     number: int
     base: int
-    settled: dict[str, int]
-    granted: dict[str, int]
+    accounts: dict[str, Settled]
 
 
 class Purse:
     """Reserves, settles and plans the writes that renew the grants."""
 
-    def __init__(self, holder: str, address: str = '') -> None:
+    def __init__(self, holder: str, address: str, clock: Clock) -> None:
         """
         Start without tokens, as a holder that never wrote.
 
@@ -91,9 +110,12 @@
         """
         self._holder = holder
         self._address = address
+        self._clock = clock
+        self._started = self._moment()
         self._pockets: dict[str, _Pocket] = {}
         self._unknown: list[Change] = []
         self._number = 0
+        self._sent_at = clock.now()
         self._leaving = False
         self._age_s = 0.0
         self._known: Ledger | None = None
@@ -122,26 +144,23 @@
                 pocket.lacked = max(1, pocket.lacked)
         self._prepaid = prepaid
 
-    def bounded(self, account: str) -> bool:
-        """Return whether an account has a budget."""
-        return account in self._prepaid
-
     def available(self, account: str) -> int:
         """
         Return the tokens that may be reserved now.
 
-        While the outcome of a write is unknown, the least of what the
-        grant would be with and without it counts.
+        While the outcome of a write is unknown, the least of what may be
+        spent with and without it counts.
         """
         pocket = self._pockets.get(account)
         if pocket is None or pocket.frozen:
             return 0
-        least = pocket.granted - pocket.used
+        whole = self._clock.now() - self._sent_at > WINDOW_ONLY_S
+        least = pocket.limit(whole=whole)
         for change in self._unknown:
-            settled = change.settled.get(account, 0)
-            after = change.granted.get(account, 0)
-            least = min(least, after - pocket.used + settled)
-        return least - pocket.reserved
+            settled = change.accounts.get(account)
+            after = settled.limit(whole=whole) if settled else 0
+            least = min(least, after)
+        return least - pocket.used - pocket.reserved
 
     def reserve(self, account: str, tokens: int) -> Reservation | None:
         """Return a reservation, None if the tokens at hand don't cover it."""
@@ -186,18 +205,18 @@
         """Add tokens that another VM has given."""
         self._pockets.setdefault(account, _Pocket()).used -= tokens
 
-    def richest(self, account: str, wall: float) -> list[str]:
+    def richest(self, account: str) -> list[str]:
         """Return addresses of VMs that may have tokens, the richest first."""
         if self._known is None:
             return []
-        grants = self._known.entry(account).grants
+        entry = self._known.entry(account)
         holders = [
             holder
-            for holder in self._known.live(wall)
-            if holder != self._holder and grants.get(holder, 0) > 0
+            for holder in self._known.live(self._clock.wall())
+            if holder != self._holder and entry.share(holder).grant
         ]
-        holders.sort(key=lambda holder: grants[holder], reverse=True)
-        return [self._known.addresses[holder] for holder in holders]
+        holders.sort(key=lambda name: entry.share(name).grant, reverse=True)
+        return [self._known.holders[holder].address for holder in holders]
 
     def exhausted(self, account: str, tokens: int) -> bool:
         """
@@ -235,7 +254,8 @@
         Those that were to replace an older record never will.
         """
         self._known = ledger
-        applied = ledger.writes.get(self._holder, 0)
+        own = ledger.holders.get(self._holder)
+        applied = own.write if own else 0
         for change in self._unknown:
             if change.number == applied:
                 self._adopt(change)
@@ -245,32 +265,28 @@
             if change.number > applied and change.base >= revision
         ]
 
-    def plan(self, ledger: Ledger, revision: int, wall: float) -> Change:
+    def plan(self, ledger: Ledger, revision: int) -> Change:
         """
         Change a record that was read, and return the change.
 
         The change counts as one with an unknown outcome until `confirm`
         or `learn` tells.
-
-        :param wall: Unix time, seconds.
         """
         self._number += 1
-        ledger.writes[self._holder] = self._number
-        ledger.times[self._holder] = int(wall)
-        ledger.addresses[self._holder] = self._address
-        ledger.retire(self._holder)
-        live = ledger.live(wall)
-        settled: dict[str, int] = {}
-        granted: dict[str, int] = {}
-        for account, prepaid in self._prepaid.items():
-            pocket = self._pockets.setdefault(account, _Pocket())
-            entry = ledger.entry(account)
-            settled[account] = pocket.used
-            self._settle_entry(entry, pocket)
-            granted[account] = self._grant(pocket, entry, prepaid, live)
-            _put(entry.grants, self._holder, granted[account])
-            pocket.lacked = 0
-        change = Change(self._number, revision, settled, granted)
+        self._sent_at = self._clock.now()
+        written = self._moment()
+        ledger.retire(self._holder, self._started)
+        ledger.holders[self._holder] = Holder(
+            self._number,
+            written,
+            self._address,
+        )
+        live = ledger.live(written.wall)
+        accounts = {
+            account: self._plan_account(ledger.entry(account), account, live)
+            for account in self._prepaid
+        }
+        change = Change(self._number, revision, accounts)
         self._unknown.append(change)
         return change
 
@@ -290,66 +306,36 @@
         """Hold no more than what is reserved, before the process ends."""
         self._leaving = True
 
+    def _moment(self) -> Moment:
+        """Return the time by both clocks."""
+        return Moment(self._clock.wall(), self._clock.now())
+
     def _adopt(self, change: Change) -> None:
         """Count with the grants after a change."""
-        for account, granted in change.granted.items():
+        for account, settled in change.accounts.items():
             pocket = self._pockets[account]
-            pocket.granted = granted
-            pocket.used -= change.settled[account]
-
-    def _settle_entry(self, entry: AccountEntry, pocket: _Pocket) -> None:
-        """Move used tokens from the grant to the spent ones."""
-        entry.spent += pocket.used
-        _put(entry.grants, self._holder, pocket.granted - pocket.used)
-        demand = 0 if self._leaving else math.ceil(pocket.demand)
-        _put(entry.demands, self._holder, demand)
+            pocket.granted = settled.granted
+            pocket.window = settled.window
+            pocket.used -= settled.used
 
-    def _grant(
+    def _plan_account(
         self,
-        pocket: _Pocket,
         entry: AccountEntry,
-        prepaid: int,
+        account: str,
         live: list[str],
-    ) -> int:
-        """Return the grant to hold after a write."""
-        kept = entry.grants.get(self._holder, 0)
-        free = entry.free(prepaid)
+    ) -> Settled:
+        """Settle and size one account in a record."""
+        pocket = self._pockets.setdefault(account, _Pocket())
+        entry.spent += pocket.used
+        demand = 0 if self._leaving else math.ceil(pocket.demand)
+        share = Share(pocket.granted - pocket.used, 0, demand)
+        entry.shares[self._holder] = share
+        need = Need(pocket.reserved, pocket.lacked)
+        pocket.lacked = 0
         if self._leaving:
-            return pocket.reserved
-        if free < 0:
-            return max(pocket.reserved, kept + free)
-        held = sum(entry.grants.get(holder, 0) for holder in live)
-        weight = _weight(entry, self._holder, live)
-        target = int(_held_together(entry, free + held, live) * weight)
-        target += pocket.reserved
-        wanted = max(target, pocket.reserved + pocket.lacked)
-        if kept < wanted:
-            return kept + min(wanted - kept, free)
-        scarce = free < SCARCE_SHARE * (free + held)
-        factor = SCARCE_FACTOR if scarce else KEEP_FACTOR
-        return wanted if kept > factor * wanted else kept
-
-
-def _held_together(entry: AccountEntry, left: int, live: list[str]) -> float:
-    """Return the tokens that the live VMs hold beside their reservations."""
-    demand = sum(entry.demands.get(holder, 0) for holder in live)
-    least, most = LEAST_HELD_SHARE * left, HELD_SHARE * left
-    return min(max(HORIZON_S * demand, least), most)
-
-
-def _weight(entry: AccountEntry, holder: str, live: list[str]) -> float:
-    """Return a holder's part of what the live ones hold together."""
-    equal = 1 / max(1, len(live))
-    total = sum(entry.demands.get(name, 0) for name in live)
-    if not total:
-        return equal
-    by_demand = entry.demands.get(holder, 0) / total
-    return BY_DEMAND * by_demand + (1 - BY_DEMAND) * equal
-
-
-def _put(counts: dict[str, int], holder: str, count: int) -> None:
-    """Set a holder's number; 0 is left out."""
-    if count:
-        counts[holder] = count
-    else:
-        counts.pop(holder, None)
+            share.grant = share.window = need.reserved
+        else:
+            sizing = Sizing(entry, self._prepaid[account], self._holder, live)
+            share.grant = sizing.grant(need)
+            share.window = sizing.window(share.grant, need)
+        return Settled(pocket.used, share.grant, share.window)
