--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import json
+import math
 from typing import Any
 
 from fuchsiafork.kernel.errors import StoreFormatError
@@ -19,10 +20,12 @@
 # sized; it keeps its grant all the same.
 LIVE_S = 20.0
 # A process that started on a VM within this time of the last write of the
-# process before it knows that that one has spent no more than its window.
-RECLAIM_S = 4.5
-# Clocks may differ by this much when a process starts after its predecessor.
+# process before it knows how much that one has spent at most.
+RECLAIM_S = 7.0
+# Two clocks that agree within this are both taken as right.
 _CLOCK_SLACK_S = 0.5
+# Seconds by which the calendar time alone may be wrong.
+_CLOCK_JUMP_S = 2.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,14 +34,21 @@
     A holder's part of one account.
 
     :ivar grant: tokens that it may still spend.
-    :ivar window: those of them that it may spend soon after its last write.
+    :ivar window: those of them that it may spend at once after its write.
+    :ivar rate: tokens a second that it may spend besides soon after it.
     :ivar demand: tokens a second that it has spent lately.
     """
 
     grant: int = 0
     window: int = 0
+    rate: int = 0
     demand: int = 0
 
+    def limit(self, elapsed_s: float) -> int:
+        """Return the tokens that may be spent soon after the write."""
+        grown = self.window + math.ceil(self.rate * elapsed_s)
+        return min(self.grant, grown)
+
 
 @dataclasses.dataclass(slots=True)
 class AccountEntry:
@@ -114,23 +124,23 @@
         """
         Drop the earlier processes of a holder's VM.
 
-        What they had left outside their windows is free again if the
-        successor started soon enough. The windows stay withheld, since
-        nobody knows how much of them was spent.
+        What they can't have spent since their last write is free again if
+        the successor started soon enough. The rest stays withheld.
         """
         vm = _vm(successor)
         for name in tuple(self.holders):
             if name != successor and _vm(name) == vm:
                 gone = self.holders.pop(name)
-                if _is_soon(gone.written, started):
-                    self._reclaim(name)
+                elapsed = _elapsed_s(gone.written, started)
+                if elapsed is not None:
+                    self._reclaim(name, elapsed)
 
-    def _reclaim(self, holder: str) -> None:
-        """Leave a holder that ended no more than its windows."""
+    def _reclaim(self, holder: str, elapsed_s: float) -> None:
+        """Leave a holder that ended what it may have spent."""
         for entry in self.accounts.values():
             share = entry.shares.get(holder)
             if share is not None:
-                share.grant = min(share.grant, share.window)
+                share.grant = share.limit(elapsed_s)
 
 
 def encode_ledger(ledger: Ledger) -> bytes:
@@ -186,7 +196,7 @@
 def _encode_shares(shares: dict[str, Share]) -> dict[str, list[int]]:
     """Return shares in the form that is stored, empty ones left out."""
     return {
-        holder: [share.grant, share.window, share.demand]
+        holder: [share.grant, share.window, share.rate, share.demand]
         for holder, share in shares.items()
         if share.grant or share.demand
     }
@@ -195,22 +205,29 @@
 def _read_shares(stored: Any) -> dict[str, Share]:
     """Return the shares in a decoded value."""
     return {
-        holder: Share(int(grant), int(window), int(demand))
-        for holder, (grant, window, demand) in stored.items()
+        holder: Share(*(int(count) for count in counts))
+        for holder, counts in stored.items()
     }
 
 
-def _is_soon(written: Moment, started: Moment) -> bool:
+def _elapsed_s(written: Moment, started: Moment) -> float | None:
     """
-    Return whether a process started soon after another's last write.
+    Return the most seconds from a write to the end of its process.
+
+    The calendar time may jump, and the time since the start of the VM
+    begins anew after a loss of power; if they agree, both are right.
 
-    Either clock alone may be off: the calendar time may jump, the time
-    since the start of the VM begins anew after a loss of power.
+    :return: None if it can't be told, or is too long.
     """
     by_wall = started.wall - written.wall
     by_boot = started.boot - written.boot
-    plausible = -_CLOCK_SLACK_S <= by_wall <= RECLAIM_S
-    return plausible and by_boot <= RECLAIM_S
+    if abs(by_wall - by_boot) <= _CLOCK_SLACK_S:
+        elapsed = max(by_wall, by_boot)
+    elif by_boot < 0 <= by_wall:
+        elapsed = by_wall + _CLOCK_JUMP_S
+    else:
+        return None
+    return elapsed if elapsed <= RECLAIM_S else None
 
 
 def _vm(holder: str) -> str:
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -18,9 +18,9 @@
 # Another VM that asks for tokens gets this part of the rest besides, so that
 # it need not ask for each request.
 SPARE_DIVISOR = 4
-# For so long after it sent a write, a process spends only its windows. This
-# is longer than `ledger.RECLAIM_S` by more than a clock may jump.
-WINDOW_ONLY_S = 7.0
+# For so long after it sent a write, a process spends only what its shares'
+# windows and rates allow, so that a successor knows how much that is.
+WINDOW_ONLY_S = 7.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,8 +41,7 @@
     """
     One account's tokens in this process.
 
-    :ivar granted: grant in the last record known to be stored.
-    :ivar window: window in that record.
+    :ivar share: share in the last record known to be stored.
     :ivar used: settled tokens that are not in that record.
     :ivar reserved: most that the open requests may cost.
     :ivar demand: average of tokens spent a second.
@@ -52,8 +51,7 @@
         budget was lowered.
     """
 
-    granted: int = 0
-    window: int = 0
+    share: Share = dataclasses.field(default_factory=Share)
     used: int = 0
     reserved: int = 0
     demand: float = 0.0
@@ -61,10 +59,6 @@
     lacked: int = 0
     frozen: bool = False
 
-    def limit(self, *, whole: bool) -> int:
-        """Return the tokens that may be spent on the last stored record."""
-        return self.granted if whole else self.window
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settled:
@@ -72,17 +66,11 @@
     One account in a write of the ledger.
 
     :ivar used: tokens moved from the grant to the account's spent ones.
-    :ivar granted: grant after the write.
-    :ivar window: window after the write.
+    :ivar share: share after the write.
     """
 
     used: int
-    granted: int
-    window: int
-
-    def limit(self, *, whole: bool) -> int:
-        """Return the tokens that may be spent, had the write taken effect."""
-        return self.used + (self.granted if whole else self.window)
+    share: Share
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,14 +142,20 @@
         pocket = self._pockets.get(account)
         if pocket is None or pocket.frozen:
             return 0
-        whole = self._clock.now() - self._sent_at > WINDOW_ONLY_S
-        least = pocket.limit(whole=whole)
+        least = self._limit(pocket.share)
         for change in self._unknown:
             settled = change.accounts.get(account)
-            after = settled.limit(whole=whole) if settled else 0
+            after = settled.used + self._limit(settled.share) if settled else 0
             least = min(least, after)
         return least - pocket.used - pocket.reserved
 
+    def _limit(self, share: Share) -> int:
+        """Return the tokens of a share that may be spent by now."""
+        elapsed = self._clock.now() - self._sent_at
+        if elapsed > WINDOW_ONLY_S:
+            return share.grant
+        return share.limit(elapsed)
+
     def reserve(self, account: str, tokens: int) -> Reservation | None:
         """Return a reservation, None if the tokens at hand don't cover it."""
         pocket = self._pockets.setdefault(account, _Pocket())
@@ -314,8 +308,7 @@
         """Count with the grants after a change."""
         for account, settled in change.accounts.items():
             pocket = self._pockets[account]
-            pocket.granted = settled.granted
-            pocket.window = settled.window
+            pocket.share = settled.share
             pocket.used -= settled.used
 
     def _plan_account(
@@ -328,7 +321,7 @@
         pocket = self._pockets.setdefault(account, _Pocket())
         entry.spent += pocket.used
         demand = 0 if self._leaving else math.ceil(pocket.demand)
-        share = Share(pocket.granted - pocket.used, 0, demand)
+        share = Share(pocket.share.grant - pocket.used, demand=demand)
         entry.shares[self._holder] = share
         need = Need(pocket.reserved, pocket.lacked)
         pocket.lacked = 0
@@ -337,5 +330,6 @@
         else:
             sizing = Sizing(entry, self._prepaid[account], self._holder, live)
             share.grant = sizing.grant(need)
-            share.window = sizing.window(share.grant, need)
-        return Settled(pocket.used, share.grant, share.window)
+            share.window = sizing.window(need)
+            share.rate = sizing.rate()
+        return Settled(pocket.used, dataclasses.replace(share))
--- a/fuchsiafork/prepaid/sizing.py
+++ b/fuchsiafork/prepaid/sizing.py
@@ -10,10 +10,12 @@
 HORIZON_S = 14.0
 LEAST_HELD_SHARE = 0.35
 HELD_SHARE = 0.65
-# Seconds of demand, and least share of the tokens left, that they may spend
-# before their next write. This is withheld when they die.
-WINDOW_S = 9.0
-LEAST_WINDOW_SHARE = 0.12
+# What they may spend before their next write is withheld when they die: some
+# seconds of demand at once, and then this many times the demand. A demand of
+# less than a share of the tokens left counts as that.
+WINDOW_S = 2.0
+RATE_FACTOR = 1.25
+LEAST_DEMAND_SHARE = 0.025
 # Part of a VM's share that goes by its demand; the rest is equal for all.
 BY_DEMAND = 0.6
 # A grant is lowered when it is this many times larger than its target, or
@@ -71,11 +73,16 @@
         factor = SCARCE_FACTOR if scarce else KEEP_FACTOR
         return wanted if self._kept > factor * wanted else self._kept
 
-    def window(self, grant: int, need: Need) -> int:
-        """Return the part of a grant that may be spent soon."""
-        together = max(
-            WINDOW_S * self._demand,
-            LEAST_WINDOW_SHARE * self._left,
-        )
-        wanted = max(need.lacked, int(together * self._weight))
-        return min(grant, need.reserved + wanted)
+    def window(self, need: Need) -> int:
+        """Return the tokens that may be spent at once."""
+        return need.reserved + max(need.lacked, int(WINDOW_S * self._expected))
+
+    def rate(self) -> int:
+        """Return the tokens a second that may be spent besides."""
+        return int(RATE_FACTOR * self._expected)
+
+    @property
+    def _expected(self) -> float:
+        """Demand that the holder is prepared for, tokens a second."""
+        least = LEAST_DEMAND_SHARE * self._left
+        return max(self._demand, least) * self._weight
