--- a/fuchsiafork/gateway/answering.py
+++ b/fuchsiafork/gateway/answering.py
@@ -58,6 +58,7 @@
     :ivar not_run: whether the target says that it has not run it.
     :ivar stale: whether a kept connection had ended unnoticed.
     :ivar unreachable: whether the target should be left alone for a while.
+    :ivar silent: whether the target neither answered nor refused.
     :ivar blames: whether the failure speaks against the target.
     """
 
@@ -67,6 +68,7 @@
     not_run: bool = False
     stale: bool = False
     unreachable: bool = False
+    silent: bool = False
     blames: bool = True
 
 
@@ -124,6 +126,7 @@
                 NoTargetError(str(error)),
                 counts=False,
                 unreachable=True,
+                silent=error.silent,
             )
         except BrokenAnswerError as error:
             return self._broken(call, error)
@@ -236,6 +239,7 @@
             found,
             stale=call.stale,
             unreachable=error.silent,
+            silent=error.silent,
             blames=not call.stale,
         )
 
--- a/fuchsiafork/gateway/call.py
+++ b/fuchsiafork/gateway/call.py
@@ -57,6 +57,11 @@
         self._reused = False
         self._answered = False
 
+    @property
+    def answered(self) -> bool:
+        """Whether any answer has come on the connection."""
+        return self._answered
+
     @property
     def stale(self) -> bool:
         """Whether a kept connection failed before any answer came on it."""
--- a/fuchsiafork/gateway/exchange.py
+++ b/fuchsiafork/gateway/exchange.py
@@ -11,6 +11,7 @@
 from fuchsiafork.gateway.money import Money
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.placement import Placement, Wanted
+from fuchsiafork.gateway.reach import Reach
 from fuchsiafork.gateway.repeats import RepeatBudget
 from fuchsiafork.gateway.targets import TargetRow, TargetTable
 from fuchsiafork.kernel import Clock, FuchsiaforkError
@@ -52,6 +53,7 @@
     log: Any
     targets: TargetTable
     pool: ConnectionPool
+    reach: Reach
     placement: Placement
     repeats: RepeatBudget
     peers: Peers
@@ -169,6 +171,8 @@
             row.in_flight -= 1
             call.end()
         row.note_answer(failed=failure is not None and failure.blames)
+        if call.answered:
+            self._services.reach.note_answer(row.target.domain)
         return failure
 
     def _choose(self, service: str, answering: Answering) -> TargetRow | None:
@@ -194,6 +198,12 @@
         if failure.unreachable:
             row.note_unreachable(self._services.clock.now())
             self._services.pool.drop(row.target.address)
+        if failure.silent:
+            self._services.reach.note_silent(
+                row.target.domain,
+                target_id,
+                self._services.clock.now(),
+            )
 
     def _may_go_on(self, route: Route, failure: Failure) -> bool:
         """Return whether the request may be sent to another target."""
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from fuchsiafork.kernel import Clock
 from fuchsiafork.prepaid import Purse
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
 from fuchsiafork.transport.json_call import JsonCall, call_json
@@ -12,6 +13,8 @@
 TOKENS_PATH = '/tokens'
 # A VM that doesn't answer in this time is not worth a longer wait.
 ASK_TIMEOUT_S = 0.15
+# Seconds for which a VM that didn't answer is not asked again.
+AVOID_S = 2.0
 
 _OK = 200
 
@@ -19,14 +22,25 @@
 class Peers:
     """Asks other VMs, and answers them."""
 
-    def __init__(self, purse: Purse, pool: ConnectionPool, log: Any) -> None:
+    def __init__(
+        self,
+        purse: Purse,
+        pool: ConnectionPool,
+        clock: Clock,
+        log: Any,
+    ) -> None:
         """Give tokens from a purse."""
         self._purse = purse
         self._pool = pool
+        self._clock = clock
+        self._avoid_until: dict[str, float] = {}
         self._log = log
 
     async def ask(self, address: str, account: str, tokens: int) -> int:
         """Return how many tokens another VM has given."""
+        now = self._clock.now()
+        if now < self._avoid_until.get(address, now):
+            return 0
         call = JsonCall('POST', TOKENS_PATH, [account, tokens])
         try:
             answer = await call_json(
@@ -37,6 +51,7 @@
             )
         except (BrokenAnswerError, ConnectError) as error:
             self._log.info('peer_silent', peer=address, reason=str(error))
+            self._avoid_until[address] = now + AVOID_S
             return 0
         given = answer.body if answer.status == _OK else 0
         return given if isinstance(given, int) else 0
--- a/fuchsiafork/gateway/placement.py
+++ b/fuchsiafork/gateway/placement.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Sequence
 
+from fuchsiafork.gateway.reach import Reach
 from fuchsiafork.gateway.targets import TargetRow
 from fuchsiafork.kernel import rank
 
@@ -35,9 +36,15 @@
 class Placement:
     """Spreads requests so that prompts meet the cache that holds them."""
 
-    def __init__(self, domain: str, chance: random.Random) -> None:
+    def __init__(
+        self,
+        domain: str,
+        reach: Reach,
+        chance: random.Random,
+    ) -> None:
         """Place for a process in a failure domain."""
         self._domain = domain
+        self._reach = reach
         self._chance = chance
 
     def choose(
@@ -51,13 +58,22 @@
             row for row in rows if row.target.target_id not in wanted.tried
         ]
         candidates = [row for row in fresh if now >= row.avoid_until]
-        sound = without_failing(candidates)
+        sound = without_failing(self._in_reach(candidates, now))
         if not sound:
             return None
         if wanted.affinity_key:
             return self._by_affinity(sound, wanted.affinity_key)
         return self._least_loaded(sound)
 
+    def _in_reach(self, rows: list[TargetRow], now: float) -> list[TargetRow]:
+        """Return the targets that are not cut off, all if none is left."""
+        near = [
+            row
+            for row in rows
+            if not self._reach.doubts(row.target.domain, now)
+        ]
+        return near or rows
+
     def _by_affinity(
         self,
         rows: Sequence[TargetRow],
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -1,6 +1,7 @@
 """Composes the process of a VM and runs it until it is told to stop."""
 
 import asyncio
+import contextlib
 import functools
 import random
 import secrets
@@ -13,6 +14,7 @@
 from fuchsiafork.gateway.money import Money
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.placement import Placement
+from fuchsiafork.gateway.reach import Reach
 from fuchsiafork.gateway.registry import ConfigurationFeed, TargetFeed
 from fuchsiafork.gateway.repeats import RepeatBudget
 from fuchsiafork.gateway.targets import TargetTable
@@ -49,7 +51,9 @@
 # load balancer sends no more.
 TAKE_S = 2.8
 # Seconds before the platform kills the process in which it ends by itself.
-END_MARGIN_S = 0.6
+END_MARGIN_S = 0.9
+# Seconds for the last write of the ledger.
+LAST_WRITE_S = 0.4
 
 _UNREADABLE: dict[int, type[FuchsiaforkError]] = {
     408: RequestTimeoutError,
@@ -149,7 +153,7 @@
         store = PlatformStore(settings.store.address, self._pool)
         holder = f'{settings.vm}#{secrets.token_hex(4)}'
         purse = Purse(holder, settings.peer_address, clock)
-        peers = Peers(purse, self._pool, log)
+        peers = Peers(purse, self._pool, clock, log)
         table = TargetTable()
         self._configured = Watcher(
             names.OPERATOR_PREFIX,
@@ -167,13 +171,15 @@
         )
         self._targets = TargetFeed(table, self._registered, clock, log)
         bounds = settings.bounds
+        reach = Reach()
         return Services(
             clock=clock,
             chance=chance,
             log=log,
             targets=table,
             pool=self._pool,
-            placement=Placement(settings.domain, chance),
+            reach=reach,
+            placement=Placement(settings.domain, reach, chance),
             repeats=RepeatBudget(
                 bounds.retry_ratio,
                 bounds.retry_extra,
@@ -270,7 +276,9 @@
             self._callers.close_idle()
             await asyncio.sleep(0.05)
         self._callers.close_idle()
-        await self._services.money.stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_WRITE_S):
+                await self._services.money.stop()
 
 
 def _answer_error(caller: CallerConnection, error: FuchsiaforkError) -> None:
--- a/fuchsiafork/transport/pool.py
+++ b/fuchsiafork/transport/pool.py
@@ -5,14 +5,14 @@
 from fuchsiafork.kernel import Clock
 from fuchsiafork.transport.target import TargetConnection, connect
 
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.3
 # A connection whose server doesn't say how long it stays open while idle.
 UNTOLD_IDLE_S = 3.0
 # The server may close a connection while a request is on its way to it.
 IDLE_MARGIN_S = 0.7
 # A call that may not be repeated goes out only on a connection that has
 # answered this recently, since one may fall silent without a reset.
-SOUND_S = 1.0
+SOUND_S = 0.4
 MOST_IDLE = 16
 
 _TIMEOUT = re.compile(r'timeout=(\d+)')
--- a/fuchsiafork/transport/target.py
+++ b/fuchsiafork/transport/target.py
@@ -17,7 +17,16 @@
 
 
 class ConnectError(Exception):
-    """No byte of the request was sent."""
+    """
+    No byte of the request was sent.
+
+    :ivar silent: whether there was no answer at all to the connection.
+    """
+
+    def __init__(self, reason: str, *, silent: bool = False) -> None:
+        """Keep the reason."""
+        super().__init__(reason)
+        self.silent = silent
 
 
 class BrokenAnswerError(Exception):
@@ -217,5 +226,8 @@
                 int(port),
             )
     except (OSError, ValueError) as error:
-        raise ConnectError(f'{address}: {error!r}') from None
+        raise ConnectError(
+            f'{address}: {error!r}',
+            silent=isinstance(error, TimeoutError),
+        ) from None
     return connection
