--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -94,6 +94,7 @@
             self._limits,
         )
         self._tasks: list[asyncio.Task[None]] = []
+        self._listeners: list[asyncio.Server] = []
 
     @property
     def ready(self) -> bool:
@@ -107,29 +108,41 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self._listen()
+        await self.start()
+        await self._stopping.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Listen, follow the store and serve."""
+        settings = self._settings
+        await self._listen(settings.peer_address, self._peers)
+        await self._listen(settings.listen.readiness, self._readiness)
+        await self._listen(settings.listen.callers, self._callers)
         self._start_tasks()
         self._log.info('started', settings=str(self._path))
-        await self._stopping.wait()
+
+    async def stop(self) -> None:
+        """Let the callers go, finish the requests in flight, and end."""
+        self._stopping.set()
         await self._drain()
+        for task in self._tasks:
+            task.cancel()
+        for listener in self._listeners:
+            listener.close()
         self._log.info('stopped')
 
-    async def _listen(self) -> None:
-        """Listen for callers and for questions after readiness."""
+    async def _listen(self, address: str, server: CallerServer) -> None:
+        """Serve the connections to an address."""
+        host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
-        for address, server in (
-            (self._settings.listen.callers, self._callers),
-            (self._settings.listen.readiness, self._readiness),
-            (self._settings.peer_address, self._peers),
-        ):
-            host, _, port = address.rpartition(':')
-            await loop.create_server(
-                functools.partial(CallerConnection, server),
-                host,
-                int(port),
-                backlog=BACKLOG,
-                reuse_address=True,
-            )
+        listener = await loop.create_server(
+            functools.partial(CallerConnection, server),
+            host,
+            int(port),
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+        self._listeners.append(listener)
 
     def _start_tasks(self) -> None:
         """Follow the store and run the systems."""
--- a/fuchsiafork/transport/caller.py
+++ b/fuchsiafork/transport/caller.py
@@ -254,7 +254,9 @@
         self._body.clear()
         limits = self._server.limits()
         self._start_timer(limits.idle_timeout_s, self._time_out)
-        if _content_length(event) > limits.body_bytes:
+        if _head_length(event) > limits.header_bytes:
+            self._reject(431, 'the headers are over the bound')
+        elif _content_length(event) > limits.body_bytes:
             self._reject(413, 'the body is over the bound')
         elif self._parser.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -337,6 +339,12 @@
             self._timer = None
 
 
+def _head_length(head: h11.Request) -> int:
+    """Return the bytes of a request's head, line ends included."""
+    fields = sum(len(name) + len(text) + 4 for name, text in head.headers)
+    return len(head.method) + len(head.target) + fields + 14
+
+
 def _content_length(head: h11.Request) -> int:
     """Return the announced length of a body, 0 if none is."""
     for name, text in head.headers:
--- /dev/null
+++ b/tests/test_prepaid.py
@@ -0,0 +1,371 @@
+"""Prepaid tokens: the ledger record, the purse and what a death withholds."""
+
+import random
+import unittest
+
+from fuchsiafork.kernel.errors import StoreFormatError
+from fuchsiafork.prepaid import (
+    AccountEntry,
+    Ledger,
+    Purse,
+    decode_ledger,
+    encode_ledger,
+)
+from fuchsiafork.prepaid.ledger import Holder, Moment, Share
+from fuchsiafork.prepaid.purse import WINDOW_ONLY_S
+from standins.virtual import VirtualClock
+
+PREPAID = 100_000
+
+
+class _Record:
+    """The stored record and its revision."""
+
+    def __init__(self) -> None:
+        self.value = b''
+        self.revision = 1
+
+    def read(self) -> tuple[Ledger, int]:
+        return decode_ledger(self.value), self.revision
+
+    def swap(self, revision: int, ledger: Ledger) -> bool:
+        if revision != self.revision:
+            return False
+        self.value = encode_ledger(ledger)
+        self.revision += 1
+        return True
+
+
+def _sync(purse: Purse, record: _Record) -> bool:
+    """Return whether a read and a write without trouble were stored."""
+    ledger, revision = record.read()
+    purse.learn(ledger, revision)
+    change = purse.plan(ledger, revision)
+    if record.swap(revision, ledger):
+        purse.confirm(change, ledger)
+        return True
+    purse.withdraw(change)
+    return False
+
+
+def _make_purse(holder: str, clock: VirtualClock) -> Purse:
+    """Return a purse that knows one budget."""
+    purse = Purse(holder, f'{holder}:1', clock)
+    purse.set_prepaid({'acme': PREPAID})
+    return purse
+
+
+class TestLedger(unittest.TestCase):
+    """The record in the store."""
+
+    def test_round_trip(self) -> None:
+        """Guards against a record that another VM reads differently."""
+        ledger = Ledger(
+            {'acme': AccountEntry(7, {'a#1': Share(10, 5, 2, 1)})},
+            {'a#1': Holder(3, Moment(12.5, 4.25), '10.0.0.1:7000')},
+        )
+        self.assertEqual(decode_ledger(encode_ledger(ledger)), ledger)
+
+    def test_malformed(self) -> None:
+        """Guards against treating a broken record as an empty one."""
+        for value in (b'{', b'[]', b'{"accounts": {"a": 3}}'):
+            with self.assertRaises(StoreFormatError):
+                decode_ledger(value)
+
+    def test_empty(self) -> None:
+        """Guards against a first start that fails without a record."""
+        self.assertEqual(decode_ledger(b''), Ledger())
+
+
+class TestPurse(unittest.TestCase):
+    """Reservations and settlements of one process."""
+
+    def setUp(self) -> None:
+        """Start one process with a grant."""
+        self.clock = VirtualClock()
+        self.record = _Record()
+        self.purse = _make_purse('a#1', self.clock)
+        _sync(self.purse, self.record)
+
+    def test_reserves_within_the_grant_only(self) -> None:
+        """Guards against spending what the ledger did not grant."""
+        available = self.purse.available('acme')
+        self.assertGreater(available, 0)
+        self.assertIsNone(self.purse.reserve('acme', available + 1))
+        self.assertIsNotNone(self.purse.reserve('acme', available))
+        self.assertEqual(self.purse.available('acme'), 0)
+
+    def test_settles_once_and_at_most_the_reservation(self) -> None:
+        """Guards against billing a request twice or beyond its bound."""
+        before = self.purse.available('acme')
+        reservation = self.purse.reserve('acme', 500)
+        assert reservation is not None
+        self.purse.settle(reservation, 9000)
+        self.purse.settle(reservation, 400)
+        self.assertEqual(self.purse.available('acme'), before - 500)
+        _sync(self.purse, self.record)
+        self.assertEqual(self.record.read()[0].entry('acme').spent, 500)
+
+    def test_lost_answer_of_a_write_that_took_effect(self) -> None:
+        """Guards against settling the same tokens a second time."""
+        reservation = self.purse.reserve('acme', 300)
+        assert reservation is not None
+        self.purse.settle(reservation, 300)
+        ledger, revision = self.record.read()
+        self.purse.learn(ledger, revision)
+        self.purse.plan(ledger, revision)
+        self.record.swap(revision, ledger)
+        _sync(self.purse, self.record)
+        self.assertEqual(self.record.read()[0].entry('acme').spent, 300)
+
+    def test_late_write_loses_to_a_newer_one(self) -> None:
+        """Guards against a delayed write that grants tokens twice."""
+        late, revision = self.record.read()
+        self.purse.learn(late, revision)
+        self.purse.plan(late, revision)
+        self.assertTrue(_sync(self.purse, self.record))
+        self.assertFalse(self.record.swap(revision, late))
+        granted = self.record.read()[0].entry('acme').share('a#1').grant
+        self.assertGreaterEqual(granted, self.purse.available('acme'))
+
+    def test_lowered_budget_stops_spending_until_the_next_write(self) -> None:
+        """Guards against grants of a budget that the operator has lowered."""
+        self.purse.set_prepaid({'acme': 10})
+        self.assertEqual(self.purse.available('acme'), 0)
+        _sync(self.purse, self.record)
+        self.assertLessEqual(self.purse.available('acme'), 10)
+
+    def test_leaving_returns_the_grant(self) -> None:
+        """Guards against withholding the tokens of a planned stop."""
+        self.purse.leave()
+        _sync(self.purse, self.record)
+        entry = self.record.read()[0].entry('acme')
+        self.assertEqual(entry.free(PREPAID), PREPAID)
+
+    def test_window_grows_to_the_whole_grant(self) -> None:
+        """Guards against refusing for ever while the store is away."""
+        share = self.record.read()[0].entry('acme').share('a#1')
+        self.assertLess(self.purse.available('acme'), share.grant)
+        self.clock.advance(WINDOW_ONLY_S + 0.1)
+        self.assertEqual(self.purse.available('acme'), share.grant)
+
+    def test_exhausted_only_by_settled_tokens(self) -> None:
+        """Guards against a final refusal while grants may still come back."""
+        self.assertFalse(self.purse.exhausted('acme', PREPAID))
+        self.assertTrue(self.purse.exhausted('acme', PREPAID + 1))
+
+
+class TestTransfer(unittest.TestCase):
+    """Tokens that one VM gives another."""
+
+    def setUp(self) -> None:
+        """Start two processes; the second one has less than it needs."""
+        self.clock = VirtualClock()
+        self.record = _Record()
+        self.giver = _make_purse('a#1', self.clock)
+        self.taker = _make_purse('b#1', self.clock)
+        _sync(self.giver, self.record)
+        _sync(self.taker, self.record)
+
+    def test_sum_is_the_same_whoever_writes_first(self) -> None:
+        """Guards against tokens that a transfer makes out of nothing."""
+        for first, second in (
+            (self.giver, self.taker),
+            (self.taker, self.giver),
+        ):
+            given = self.giver.give('acme', 100)
+            self.taker.receive('acme', given)
+            _sync(first, self.record)
+            _sync(second, self.record)
+            entry = self.record.read()[0].entry('acme')
+            self.assertGreaterEqual(entry.free(PREPAID), 0)
+            self.assertEqual(entry.spent, 0)
+
+    def test_gives_no_more_than_it_has(self) -> None:
+        """Guards against giving tokens that are reserved."""
+        available = self.giver.available('acme')
+        self.assertLessEqual(self.giver.give('acme', PREPAID), available)
+        self.assertEqual(self.giver.available('acme'), 0)
+        self.assertEqual(self.giver.give('acme', 1), 0)
+
+    def test_richest_first(self) -> None:
+        """Guards against asking VMs that have nothing."""
+        _sync(self.taker, self.record)
+        self.assertEqual(self.taker.richest('acme'), ['a#1:1'])
+
+
+class TestDeath(unittest.TestCase):
+    """What becomes of the tokens of a process that was killed."""
+
+    def setUp(self) -> None:
+        """Kill a process that has spent all that it may."""
+        self.clock = VirtualClock()
+        self.record = _Record()
+        victim = _make_purse('a#1', self.clock)
+        _sync(victim, self.record)
+        self.granted = self.record.read()[0].entry('acme').share('a#1').grant
+        self.victim = victim
+
+    def _successor_free(self) -> int:
+        """Return what is free after a successor's first write."""
+        successor = _make_purse('a#2', self.clock)
+        successor.leave()
+        _sync(successor, self.record)
+        return self.record.read()[0].entry('acme').free(PREPAID)
+
+    def test_soon_successor_frees_what_was_not_spendable(self) -> None:
+        """Guards against withholding the whole grant at each restart."""
+        self.clock.advance(2.0)
+        spent = self.victim.available('acme')
+        free = self._successor_free()
+        self.assertGreater(free, PREPAID - self.granted)
+        self.assertLessEqual(free, PREPAID - spent)
+
+    def test_late_successor_frees_nothing(self) -> None:
+        """Guards against freeing tokens spent while the store was away."""
+        self.clock.advance(WINDOW_ONLY_S + 1)
+        self.assertEqual(self.victim.available('acme'), self.granted)
+        self.assertEqual(self._successor_free(), PREPAID - self.granted)
+
+    def test_jump_of_the_calendar_time_frees_nothing(self) -> None:
+        """Guards against a clock that was set back during the death."""
+        self.clock.advance(WINDOW_ONLY_S + 1)
+        self.clock._boot -= 7.0
+        self.assertEqual(self._successor_free(), PREPAID - self.granted)
+
+    def test_other_vm_frees_nothing(self) -> None:
+        """Guards against closing out a VM that may only be cut off."""
+        other = _make_purse('b#1', self.clock)
+        other.leave()
+        _sync(other, self.record)
+        entry = self.record.read()[0].entry('acme')
+        self.assertEqual(entry.share('a#1').grant, self.granted)
+
+
+class _Fleet:
+    """VMs that spend at random under random faults; counts real spend."""
+
+    def __init__(self, seed: int, *, forget_windows: bool = False) -> None:
+        self.chance = random.Random(seed)
+        self.clock = VirtualClock()
+        self.record = _Record()
+        self.prepaid = PREPAID
+        self.spent = 0
+        self.starts = 0
+        self.vms: dict[str, Purse] = {}
+        self.open: dict[str, list[object]] = {}
+        self.late: list[tuple[int, Ledger]] = []
+        self.forget_windows = forget_windows
+        for name in 'abcd':
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a VM's process anew; the open requests of the old one end."""
+        self.starts += 1
+        purse = Purse(f'{name}#{self.starts}', f'{name}:1', self.clock)
+        purse.set_prepaid({'acme': self.prepaid})
+        self.vms[name] = purse
+        self.open[name] = []
+
+    def spend(self, name: str) -> None:
+        """Send a request; its targets count its cost at once."""
+        reservation = self.vms[name].reserve(
+            'acme',
+            self.chance.randint(1, 3000),
+        )
+        if reservation is not None:
+            self.spent += reservation.tokens
+            self.open[name].append(reservation)
+
+    def settle(self, name: str) -> None:
+        """End a request at its full cost."""
+        if self.open[name]:
+            reservation = self.open[name].pop()
+            self.vms[name].settle(reservation, reservation.tokens)  # type: ignore[attr-defined]
+
+    def sync(self, name: str) -> None:
+        """Read and write the record; the answer may be lost or late."""
+        purse = self.vms[name]
+        ledger, revision = self.record.read()
+        purse.learn(ledger, revision)
+        change = purse.plan(ledger, revision)
+        if self.forget_windows:
+            self._break_windows(ledger)
+        fate = self.chance.random()
+        if fate < 0.15:
+            self.late.append((revision, ledger))
+        elif fate < 0.3:
+            self.record.swap(revision, ledger)
+        elif self.record.swap(revision, ledger):
+            purse.confirm(change, ledger)
+
+    def give(self, name: str) -> None:
+        """Ask another VM for tokens; the answer may be lost."""
+        other = self.chance.choice([vm for vm in self.vms if vm != name])
+        given = self.vms[other].give('acme', self.chance.randint(1, 4000))
+        if self.chance.random() < 0.8:
+            self.vms[name].receive('acme', given)
+
+    def step(self) -> None:
+        """Let one thing happen."""
+        pauses = (0.01, 0.02, 0.1, 0.4, 9.0)
+        weights = (10, 10, 10, 10, 0.2)
+        self.clock.advance(self.chance.choices(pauses, weights)[0])
+        name = self.chance.choice(tuple(self.vms))
+        acts = (
+            (self.spend, 50),
+            (self.settle, 20),
+            (self.sync, 15),
+            (self.give, 7),
+            (self.apply_late, 5),
+            (self.start, 3),
+            (self.top_up, 1),
+        )
+        kinds, shares = zip(*acts, strict=True)
+        self.chance.choices(kinds, shares)[0](name)
+
+    def apply_late(self, name: str) -> None:
+        """Let a delayed write arrive at the store."""
+        if self.late:
+            self.record.swap(*self.late.pop())
+
+    def top_up(self, name: str) -> None:
+        """Raise the budget; all VMs hear of it."""
+        self.prepaid += 5000
+        for purse in self.vms.values():
+            purse.set_prepaid({'acme': self.prepaid})
+
+    @staticmethod
+    def _break_windows(ledger: Ledger) -> None:
+        """Leave the windows out of a record, as a control."""
+        for share in ledger.entry('acme').shares.values():
+            share.window = share.rate = 0
+
+
+class TestNoOverspend(unittest.TestCase):
+    """Random kills, lost and late answers, transfers and top-ups."""
+
+    def test_spend_stays_inside_the_budget(self) -> None:
+        """Guards against any interleaving that overspends."""
+        served = 0
+        for seed in range(60):
+            fleet = _Fleet(seed)
+            for _ in range(1500):
+                fleet.step()
+                self.assertLessEqual(fleet.spent, fleet.prepaid, seed)
+            served += fleet.spent
+        self.assertGreater(served, 60 * PREPAID // 2)
+
+    def test_control_without_windows_overspends(self) -> None:
+        """Shows that the test above sees what windows prevent."""
+        broken = 0
+        for seed in range(20):
+            fleet = _Fleet(seed, forget_windows=True)
+            for _ in range(1500):
+                fleet.step()
+            broken += fleet.spent > fleet.prepaid
+        self.assertGreater(broken, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
