--- a/fuchsiafork/gateway/answering.py
+++ b/fuchsiafork/gateway/answering.py
@@ -106,6 +106,11 @@
             return ''
         return parts[-2] if len(parts) > 1 else parts[0]
 
+    @property
+    def route_name(self) -> str:
+        """Name of the route."""
+        return self._route.name
+
     @property
     def cost(self) -> int:
         """Tokens that the request has cost so far."""
--- a/fuchsiafork/gateway/call.py
+++ b/fuchsiafork/gateway/call.py
@@ -5,6 +5,7 @@
 import h11
 
 from fuchsiafork.gateway.targets import TargetRow
+from fuchsiafork.kernel import Clock
 from fuchsiafork.platform import headers as wire
 from fuchsiafork.transport.caller import CallerRequest, Headers
 from fuchsiafork.transport.pool import ConnectionPool, idle_limit_s
@@ -48,8 +49,16 @@
     :ivar sent: whether the target may have got some of it.
     """
 
-    def __init__(self, row: TargetRow, pool: ConnectionPool) -> None:
+    def __init__(
+        self,
+        row: TargetRow,
+        pool: ConnectionPool,
+        clock: Clock,
+    ) -> None:
         """Prepare a call to a target."""
+        self._clock = clock
+        self._began = clock.now()
+        self._first_byte = self._began
         self.row = row
         self.sent = False
         self._pool = pool
@@ -62,6 +71,13 @@
         """Whether any answer has come on the connection."""
         return self._answered
 
+    @property
+    def first_byte_s(self) -> float:
+        """Seconds until the answer began, so far if it hasn't."""
+        if self._answered:
+            return self._first_byte - self._began
+        return self._clock.now() - self._began
+
     @property
     def stale(self) -> bool:
         """Whether a kept connection failed before any answer came on it."""
@@ -109,6 +125,7 @@
             while isinstance(event, h11.InformationalResponse):
                 event = await connection.next_event()
             self._answered = True
+            self._first_byte = self._clock.now()
             pairs = wire.decode_headers(event.headers)
             facts = wire.read_answer(pairs)
             head = AnswerHead(event.status_code, pairs, facts)
--- a/fuchsiafork/gateway/exchange.py
+++ b/fuchsiafork/gateway/exchange.py
@@ -13,6 +13,7 @@
 from fuchsiafork.gateway.placement import Placement, Wanted
 from fuchsiafork.gateway.reach import Reach
 from fuchsiafork.gateway.repeats import RepeatBudget
+from fuchsiafork.gateway.rollouts import Rollouts
 from fuchsiafork.gateway.targets import TargetRow, TargetTable
 from fuchsiafork.kernel import Clock, FuchsiaforkError
 from fuchsiafork.kernel.errors import (
@@ -58,6 +59,7 @@
     repeats: RepeatBudget
     peers: Peers
     money: Money
+    rollouts: Rollouts
     catalog: Catalog | None = None
 
 
@@ -80,6 +82,7 @@
         self._answering: Answering | None = None
         self._tried: list[str] = []
         self._unreached: set[str] = set()
+        self._chance = services.chance.random()
 
     async def run(self) -> None:
         """Answer the request or refuse it."""
@@ -163,14 +166,21 @@
         answering: Answering,
     ) -> Failure | None:
         """Return why a target did not answer the request, None if it did."""
-        call = TargetCall(row, self._services.pool)
+        call = TargetCall(row, self._services.pool, self._services.clock)
         row.in_flight += 1
         try:
             failure = await answering.attempt(call, self._remaining())
         finally:
             row.in_flight -= 1
             call.end()
-        row.note_answer(failed=failure is not None and failure.blames)
+        failed = failure is not None and failure.blames
+        row.note_answer(failed=failed)
+        self._services.rollouts.note(
+            row,
+            answering.route_name,
+            failed=failed,
+            seconds=call.first_byte_s,
+        )
         if call.answered:
             self._services.reach.note_answer(row.target.domain)
         return failure
@@ -183,7 +193,11 @@
             affinity_key=answering.affinity_key,
             tried=frozenset((*self._tried, *self._unreached)),
         )
-        rows = services.targets.of_service(service)
+        rows = services.rollouts.select(
+            service,
+            services.targets.of_service(service),
+            self._chance,
+        )
         return services.placement.choose(rows, wanted, services.clock.now())
 
     def _note_failure(self, row: TargetRow, failure: Failure) -> None:
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -17,6 +17,7 @@
 from fuchsiafork.gateway.reach import Reach
 from fuchsiafork.gateway.registry import ConfigurationFeed, TargetFeed
 from fuchsiafork.gateway.repeats import RepeatBudget
+from fuchsiafork.gateway.rollouts import Rollouts
 from fuchsiafork.gateway.targets import TargetTable
 from fuchsiafork.gateway.watching import Watcher
 from fuchsiafork.kernel import SystemClock
@@ -34,7 +35,7 @@
 from fuchsiafork.platform import headers as wire
 from fuchsiafork.platform import names
 from fuchsiafork.platform.settings import VmSettings, load_vm_settings
-from fuchsiafork.platform.store import PlatformStore
+from fuchsiafork.platform.store import Changes, PlatformStore
 from fuchsiafork.prepaid import Purse
 from fuchsiafork.transport.caller import (
     CallerConnection,
@@ -147,8 +148,14 @@
     def _start_tasks(self) -> None:
         """Follow the store and run the systems."""
         configuration = ConfigurationFeed(self._apply, self._log)
+
+        def take_operator(changes: Changes) -> None:
+            configuration.take(changes)
+            self._services.rollouts.take(changes)
+
         watches = (
-            self._configured.run(configuration.take, configuration.take),
+            self._configured.run(take_operator, take_operator),
+            self._services.rollouts.run(),
             self._registered.run(
                 self._targets.take_all,
                 self._targets.take_some,
@@ -199,6 +206,7 @@
                 bounds.retry_window_s,
             ),
             peers=peers,
+            rollouts=Rollouts(holder, store, clock, log),
             money=Money(purse, peers, store, clock, chance, log),
         )
 
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -133,17 +133,32 @@
         items = tuple(_read_item(item) for item in answer.body['events'])
         return Changes(items, int(answer.body['storeRevision']))
 
-    async def swap(self, key: str, revision: int, value: bytes) -> Swap:
+    async def swap(
+        self,
+        key: str,
+        revision: int,
+        value: bytes,
+        besides: dict[str, bytes] | None = None,
+    ) -> Swap:
         """
         Write a value if a key is still at a revision.
 
+        :param besides: values that are written under other keys with it.
+
         :raises StoreOutcomeUnknownError: if the write may have been made.
         :raises StoreUnavailableError: if it certainly wasn't.
         """
-        encoded = base64.b64encode(value).decode()
+        values = {key: value, **(besides or {})}
         body = {
             'expectedRev': [{'key': key, 'revision': revision}],
-            'writes': [{'key': key, 'value': encoded, 'lease': 0}],
+            'writes': [
+                {
+                    'key': name,
+                    'value': base64.b64encode(text).decode(),
+                    'lease': 0,
+                }
+                for name, text in values.items()
+            ],
             'remove': [],
         }
         answer = await self._call('POST', '/api/kv-txn', body)
--- /dev/null
+++ b/tests/test_gateway_rollouts.py
@@ -0,0 +1,119 @@
+"""Moves of a service to another version."""
+
+import json
+import random
+import unittest
+
+from fuchsiafork.gateway.trial import Order, Trial, Verdict
+from standins.platform_targets import Behaviour, PlatformTarget
+from tests.gateway_case import GatewayCase
+
+DURATION_S = 12.0
+
+
+def _play(seed: int, bad_share: float, slow: float = 1.0) -> Trial:
+    """Return a trial after its time, with 20 requests a second."""
+    chance = random.Random(seed)
+    trial = Trial(Order('plain', 'v2', DURATION_S, 7), 0.0)
+    for step in range(int(DURATION_S * 20)):
+        is_new = chance.random() < trial.share()
+        usual = chance.uniform(0.03, 0.09)
+        trial.note(
+            chance.choice(('look', 'order')),
+            'v2' if is_new else 'v1',
+            failed=chance.random() < (bad_share if is_new else 0.05),
+            seconds=usual * (slow if is_new else 1.0),
+        )
+        trial.verdict = trial.decide(step / 20)
+        if trial.verdict is not Verdict.NONE:
+            break
+    return trial
+
+
+class TestTrial(unittest.TestCase):
+    """Evidence and verdicts, without I/O."""
+
+    def test_good_versions_are_accepted_in_time(self) -> None:
+        """Guards against taking good versions back."""
+        verdicts = [_play(seed, 0.05).verdict for seed in range(60)]
+        self.assertGreaterEqual(verdicts.count(Verdict.GOOD), 58)
+
+    def test_failing_versions_are_taken_back(self) -> None:
+        """Guards against a bad version that replaces the old one."""
+        trials = [_play(seed, 0.8) for seed in range(60)]
+        self.assertTrue(all(t.verdict is Verdict.BAD for t in trials))
+        self.assertLessEqual(max(t.total().new.seen for t in trials), 12)
+
+    def test_slow_versions_are_taken_back(self) -> None:
+        """Guards against judging by failures alone."""
+        trials = [_play(seed, 0.05, slow=6.0) for seed in range(60)]
+        bad = sum(trial.verdict is Verdict.BAD for trial in trials)
+        self.assertGreaterEqual(bad, 58)
+
+    def test_share_of_an_unproven_version(self) -> None:
+        """Guards against exposing callers to it beyond a tenth."""
+        for seed in range(20):
+            total = _play(seed, 0.3).total()
+            seen = total.new.seen + total.old.seen
+            self.assertLessEqual(total.new.seen, 0.1 * seen + 25)
+
+    def test_bad_on_one_route_only(self) -> None:
+        """Guards against good routes that cover for a bad one."""
+        trial = Trial(Order('plain', 'v2', DURATION_S, 7), 0.0)
+        for number in range(200):
+            trial.note('look', 'v1', failed=False, seconds=0.05)
+            trial.note('look', 'v2', failed=False, seconds=0.05)
+            if number < 12:
+                trial.note('order', 'v2', failed=True, seconds=0.05)
+        self.assertIs(trial.decide(1.0), Verdict.BAD)
+
+
+class TestRollout(GatewayCase):
+    """An order on the platform's store."""
+
+    async def asyncSetUp(self) -> None:
+        """Start two targets of a new version beside the old ones."""
+        await super().asyncSetUp()
+        self.new = [PlatformTarget(f'n-{n}', 'plain', 'a') for n in (1, 2)]
+        for target in self.new:
+            await target.start()
+        self.plain += self.new
+
+    def _order(self) -> None:
+        """Register the new targets and give the order."""
+        order = {'service': 'plain', 'to': 'v2', 'durationS': 3}
+        self.store.put('op/rollout/plain', order)
+        for target in self.new:
+            self.register(target, version='v2')
+
+    def _state(self) -> str:
+        """Return the state that the operator reads."""
+        value = self.store.content.get('status/rollout/plain') or b'{}'
+        return json.loads(value).get('state', '')
+
+    async def test_good_version(self) -> None:
+        """Guards against an order that is never completed."""
+        self._order()
+        await self.eventually(lambda: self._state() == 'running')
+        await self.eventually(lambda: self._state() == 'completed')
+        before = sum(len(target.runs) for target in self.new)
+        for number in range(5):
+            await self.call('/look/1', request_id=f'r-{number}')
+        after = sum(len(target.runs) for target in self.new)
+        self.assertEqual(after - before, 5)
+
+    async def test_bad_version(self) -> None:
+        """Guards against a bad version that goes on getting requests."""
+        for target in self.new:
+            target.behaviour = Behaviour(status=500)
+        self._order()
+        await self.eventually(lambda: self._state() == 'running')
+        trial = self.gateway._services.rollouts.get('plain')
+        for _ in range(12):
+            trial.note('look', 'v2', failed=True, seconds=0.01)
+        await self.eventually(lambda: self._state() == 'rolled_back')
+        before = sum(len(target.runs) for target in self.new)
+        for number in range(30):
+            await self.call('/look/1', request_id=f'r-{number}')
+        after = sum(len(target.runs) for target in self.new)
+        self.assertEqual(after, before)
