--- a/fuchsiafork/gateway/trial.py
+++ b/fuchsiafork/gateway/trial.py
@@ -11,7 +11,7 @@
 import enum
 import math
 
-from fuchsiafork.rollouts.sequential import LOG_CONDEMN, log_ratio
+from fuchsiafork.kernel.sequential import LOG_CONDEMN, log_ratio
 
 # Share of a service's requests that goes to an unproven version: until it has
 # had its first ones, later, and while it is under suspicion or its evidence
--- a/fuchsiafork/rollouts/evidence.py
+++ b/fuchsiafork/rollouts/evidence.py
@@ -4,13 +4,13 @@
 import dataclasses
 import math
 
-from fuchsiafork.messages import Observation
-from fuchsiafork.rollouts.sequential import (
+from fuchsiafork.kernel.sequential import (
     LOG_CONDEMN,
     LOG_PROVEN,
     ChangeTest,
     log_mean,
 )
+from fuchsiafork.messages import Observation
 from fuchsiafork.rollouts.trials import (
     FAILURE_TESTS,
     TESTS,
--- a/fuchsiafork/rollouts/trials.py
+++ b/fuchsiafork/rollouts/trials.py
@@ -5,8 +5,8 @@
 import math
 from collections.abc import Sequence
 
+from fuchsiafork.kernel.sequential import log_ratio
 from fuchsiafork.messages import Observation
-from fuchsiafork.rollouts.sequential import log_ratio
 
 ERRORS = 'errors'
 TRUNCATED = 'truncated'
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -11,10 +11,10 @@
 from fuchsiafork import messages
 from fuchsiafork.configuration import Document, Rollout, Route
 from fuchsiafork.kernel import InvariantViolationError
+from fuchsiafork.kernel.sequential import LOG_CONDEMN, ChangeTest, log_ratio
 from fuchsiafork.rollouts import RolloutSystem
 from fuchsiafork.rollouts.evidence import Evidence, LocalTrials, Source
 from fuchsiafork.rollouts.schedule import Progress, share_of
-from fuchsiafork.rollouts.sequential import LOG_CONDEMN, ChangeTest, log_ratio
 from fuchsiafork.rollouts.trials import Criteria
 from fuchsiafork.rollouts.verdicts import (
     BAD,
