--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -29,13 +29,15 @@
 # Seconds between two writes while tokens are used.
 SYNC_S = 1.5
 # Least seconds between two writes, when requests wait for tokens.
-SHORTAGE_SYNC_S = 0.3
+SHORTAGE_SYNC_S = 0.1
 # Writes tried in a row when other VMs write at the same time.
 MOST_CONFLICTS = 6
 # Longest wait of a request for tokens, and its share of the time left.
 WAIT_S = 1.0
 WAIT_SHARE = 0.3
 RETRY_AFTER_S = 1.0
+# A record read this long ago still tells whether tokens are free.
+FRESH_S = 0.8
 # Other VMs that are asked for the tokens of one request.
 MOST_ASKED = 3
 
@@ -62,6 +64,7 @@
         self._due = asyncio.Event()
         self._round = asyncio.Condition()
         self._reached = False
+        self._synced_at = -FRESH_S
         self._ticked = clock.now()
 
     def set_prepaid(self, prepaid: dict[str, int]) -> None:
@@ -92,7 +95,7 @@
             if await self._ask_peers(account, tokens):
                 continue
             left = until - self._clock.now()
-            if left <= 0 or not self._reached:
+            if left <= 0 or self._hopeless(account, tokens):
                 raise self._unreachable(tokens)
             await self._wait_round(left)
 
@@ -135,6 +138,13 @@
                 self._purse.receive(account, given)
         return self._purse.available(account) >= tokens
 
+    def _hopeless(self, account: str, tokens: int) -> bool:
+        """Return whether a write now would not bring the tokens."""
+        if not self._reached:
+            return True
+        fresh = self._clock.now() - self._synced_at < FRESH_S
+        return fresh and self._purse.within_reach(account) < tokens
+
     async def _wait_round(self, seconds: float) -> None:
         """Wait for the end of the next write, or some seconds."""
         self._due.set()
@@ -155,6 +165,7 @@
             self._note_reached(reached=False, reason=str(error))
         else:
             self._note_reached(reached=True, reason='')
+            self._synced_at = self._clock.now()
         async with self._round:
             self._round.notify_all()
 
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -212,6 +212,17 @@
         holders.sort(key=lambda name: entry.share(name).grant, reverse=True)
         return [self._known.holders[holder].address for holder in holders]
 
+    def within_reach(self, account: str) -> int:
+        """Return the tokens at hand and those free in the last record."""
+        if self._known is None:
+            return 0
+        prepaid = self._prepaid.get(account, 0)
+        free = max(0, self._known.entry(account).free(prepaid))
+        pocket = self._pockets.get(account)
+        if pocket is None:
+            return free
+        return free + pocket.share.grant - pocket.used - pocket.reserved
+
     def exhausted(self, account: str, tokens: int) -> bool:
         """
         Return whether the budget can't cover a cost, whoever holds it.
--- a/fuchsiafork/prepaid/sizing.py
+++ b/fuchsiafork/prepaid/sizing.py
@@ -13,7 +13,7 @@
 # What they may spend before their next write is withheld when they die: some
 # seconds of demand at once, and then this many times the demand. A demand of
 # less than a share of the tokens left counts as that.
-WINDOW_S = 2.0
+WINDOW_S = 1.0
 RATE_FACTOR = 1.25
 LEAST_DEMAND_SHARE = 0.025
 # Part of a VM's share that goes by its demand; the rest is equal for all.
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,6 +1,6 @@
 """The deploy file and what a deployed process needs."""
 
-import subprocess
+import subprocess  # ruff: ignore[suspicious-subprocess-import]
 import sys
 import tomllib
 import unittest
