--- a/fuchsiafork/gateway/__main__.py
+++ b/fuchsiafork/gateway/__main__.py
@@ -3,21 +3,25 @@
 import sys
 
 from fuchsiafork.gateway.program import run
+from fuchsiafork.kernel import SystemClock
 from fuchsiafork.kernel.errors import SettingsError
 from fuchsiafork.observability.logs import configure_logs, get_logger
+from fuchsiafork.observability.output import BoundedOutput
 from fuchsiafork.platform.settings import settings_path
 
 
 def main() -> int:
     """Return the exit status of the process."""
-    configure_logs()
+    output = BoundedOutput(sys.stdout.fileno(), SystemClock())
+    configure_logs(output=output)
     try:
-        return run(settings_path())
+        return run(settings_path(), output)
     except SettingsError as error:
         get_logger('fuchsiafork.gateway').error(
             'settings_invalid',
             reason=str(error),
         )
+        output.flush()
         return 2
 
 
--- /dev/null
+++ b/fuchsiafork/gateway/metrics.py
@@ -0,0 +1,83 @@
+"""Metrics of a gateway."""
+
+import prometheus_client as prom
+
+# Seconds; between the shortest objective and the longest time limit.
+_LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 15.0)
+
+
+class GatewayMetrics:
+    """Counters, gauges and histograms of one process."""
+
+    def __init__(self) -> None:
+        """Register all metrics in a registry of their own."""
+        self.registry = prom.CollectorRegistry()
+        self.requests = prom.Counter(
+            'fuchsiafork_gateway_requests',
+            'Requests answered, by route and status.',
+            ('route', 'status'),
+            registry=self.registry,
+        )
+        self.refusals = prom.Counter(
+            'fuchsiafork_gateway_refusals',
+            'Requests refused or failed, by error code and run state.',
+            ('code', 'run_state'),
+            registry=self.registry,
+        )
+        self.attempts = prom.Counter(
+            'fuchsiafork_gateway_failed_attempts',
+            'Requests that one target did not serve, by error code.',
+            ('code',),
+            registry=self.registry,
+        )
+        self.duration = prom.Histogram(
+            'fuchsiafork_gateway_request_seconds',
+            'Time from a whole request to the end of its answer.',
+            ('route',),
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.store_calls = prom.Counter(
+            'fuchsiafork_gateway_store_calls',
+            'Calls of the platform store, by outcome.',
+            ('outcome',),
+            registry=self.registry,
+        )
+        self.ages = prom.Gauge(
+            'fuchsiafork_gateway_age_seconds',
+            'Time since contact about the configuration, the registry of '
+            'targets and the ledger.',
+            ('of',),
+            registry=self.registry,
+        )
+        self.version = prom.Gauge(
+            'fuchsiafork_gateway_configuration_version',
+            'Version of the configuration in force, 0 before the first.',
+            registry=self.registry,
+        )
+        self.in_flight = prom.Gauge(
+            'fuchsiafork_gateway_requests_in_flight',
+            'Requests that are being read or served.',
+            registry=self.registry,
+        )
+        self.targets = prom.Gauge(
+            'fuchsiafork_gateway_targets',
+            'Targets known, by service.',
+            ('service',),
+            registry=self.registry,
+        )
+        self.tokens = prom.Gauge(
+            'fuchsiafork_gateway_tokens_available',
+            'Tokens that may be reserved now, by client account.',
+            ('account',),
+            registry=self.registry,
+        )
+        self.lines_left_out = prom.Counter(
+            'fuchsiafork_gateway_log_lines_left_out',
+            'Log lines over the bound.',
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return prom.generate_latest(self.registry)
--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -73,6 +73,18 @@
         if self._purse.lacking:
             self._due.set()
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since the ledger was last written."""
+        return self._clock.now() - self._synced_at
+
+    def available(self) -> dict[str, int]:
+        """Return the tokens that may be reserved now, by account."""
+        return {
+            account: self._purse.available(account)
+            for account in self._purse.accounts
+        }
+
     async def reserve(
         self,
         account: str,
@@ -211,7 +223,7 @@
         """Log when the ledger is lost or regained."""
         if reached != self._reached:
             kind = 'ledger_reached' if reached else 'ledger_lost'
-            self._log.info(kind, reason=reason)
+            self._log.warning(kind, reason=reason)
         self._reached = reached
 
     def _unreachable(self, tokens: int) -> FuchsiaforkError:
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -50,7 +50,7 @@
                 ASK_TIMEOUT_S,
             )
         except (BrokenAnswerError, ConnectError) as error:
-            self._log.info('peer_silent', peer=address, reason=str(error))
+            self._log.warning('peer_silent', peer=address, reason=str(error))
             self._avoid_until[address] = now + AVOID_S
             return 0
         given = answer.body if answer.status == _OK else 0
@@ -65,7 +65,7 @@
         try:
             account, tokens = json.loads(request.body)
         except (ValueError, TypeError) as error:
-            self._log.info('peer_unreadable', reason=repr(error))
+            self._log.warning('peer_unreadable', reason=repr(error))
             caller.answer(400, [], b'')
             return
         given = self._purse.give(str(account), int(tokens))
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -7,17 +7,19 @@
 import secrets
 import signal
 from pathlib import Path
-from typing import Any
 
 from fuchsiafork.gateway.catalog import Catalog, Limits
-from fuchsiafork.gateway.exchange import Exchange, Services
+from fuchsiafork.gateway.exchange import Exchange
+from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.money import Money
+from fuchsiafork.gateway.pages import OperatorPages, ReadinessPage
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.placement import Placement
 from fuchsiafork.gateway.reach import Reach
 from fuchsiafork.gateway.registry import ConfigurationFeed, TargetFeed
 from fuchsiafork.gateway.repeats import RepeatBudget
 from fuchsiafork.gateway.rollouts import Rollouts
+from fuchsiafork.gateway.services import Services
 from fuchsiafork.gateway.targets import TargetTable
 from fuchsiafork.gateway.watching import Watcher
 from fuchsiafork.kernel import SystemClock
@@ -32,6 +34,7 @@
 )
 from fuchsiafork.kernel.refusals import refusal_body
 from fuchsiafork.observability.logs import get_logger
+from fuchsiafork.observability.output import BoundedOutput
 from fuchsiafork.platform import headers as wire
 from fuchsiafork.platform import names
 from fuchsiafork.platform.settings import VmSettings, load_vm_settings
@@ -66,13 +69,16 @@
 class GatewayProgram:
     """One process: callers' requests, budgets, targets, configuration."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, output: BoundedOutput | None = None) -> None:
         """
         Compose the process; nothing listens yet.
 
+        :param output: where the log goes, for the count of lines left out.
+
         :raises SettingsError: if its settings file is invalid.
         """
         self._path = path
+        self._output = output
         self._settings = load_vm_settings(path)
         self._log = get_logger('fuchsiafork.gateway').bind(
             vm=self._settings.vm,
@@ -84,15 +90,13 @@
         self._refusing = False
         self._services = self._make_services(self._settings)
         self._callers = CallerServer(self._serve, self._reject, self._limits)
-        self._readiness = CallerServer(
-            self._tell_ready,
-            self._reject,
-            self._limits,
-        )
-        self._peers = CallerServer(
-            self._services.peers.serve,
-            self._reject,
-            self._limits,
+        self._pages = OperatorPages(self._services, self._ages, self._in_flight)
+        readiness = ReadinessPage(lambda: self.ready)
+        # Where each address is served, the callers' last.
+        self._served = (
+            (self._settings.peer_address, self._services.peers.serve),
+            (self._settings.metrics_address, self._pages.serve),
+            (self._settings.listen.readiness, readiness.serve),
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
@@ -115,10 +119,10 @@
 
     async def start(self) -> None:
         """Listen, follow the store and serve."""
-        settings = self._settings
-        await self._listen(settings.peer_address, self._peers)
-        await self._listen(settings.listen.readiness, self._readiness)
-        await self._listen(settings.listen.callers, self._callers)
+        for address, serve in self._served:
+            server = CallerServer(serve, self._reject, self._limits)
+            await self._listen(address, server)
+        await self._listen(self._settings.listen.callers, self._callers)
         self._start_tasks()
         self._log.info('started', settings=str(self._path))
 
@@ -196,6 +200,7 @@
             clock=clock,
             chance=chance,
             log=log,
+            metrics=GatewayMetrics(),
             targets=table,
             pool=self._pool,
             reach=reach,
@@ -238,18 +243,18 @@
             return
         await Exchange(request, caller, self._services).run()
 
-    async def _tell_ready(
-        self,
-        request: CallerRequest,
-        caller: CallerConnection,
-    ) -> None:
-        """Answer the load balancer."""
-        if request.path != names.READY_PATH:
-            caller.answer(404, [], b'')
-        elif self.ready:
-            caller.answer(200, [], b'')
-        else:
-            caller.answer(503, [], b'')
+    def _ages(self) -> dict[str, float]:
+        """Return the seconds since contact, by what it was about."""
+        now = self._clock.now()
+        return {
+            'configuration': now - self._configured.contact,
+            'targets': now - self._registered.contact,
+            'ledger': self._services.money.age_s,
+        }
+
+    def _in_flight(self) -> int:
+        """Return the number of requests that are being read or served."""
+        return sum(row.busy for row in self._callers.connections)
 
     def _reject(
         self,
@@ -259,16 +264,28 @@
     ) -> None:
         """Refuse a request that could not be read."""
         kind = _UNREADABLE.get(status, BadRequestError)
-        self._log.info('request_unreadable', status=status, reason=reason)
+        self._log.warning('request_unreadable', status=status, reason=reason)
         _answer_error(caller, kind(reason))
 
     async def _tick(self) -> None:
         """Run what goes by time."""
         while True:
             await asyncio.sleep(TICK_S)
+            self._services.targets_at = self._registered.contact
             for target_id in self._services.targets.expire(self._clock.now()):
                 self._log.info('target_gone', target=target_id)
             self._pool.sweep()
+            self._flush_log()
+
+    def _flush_log(self) -> None:
+        """Write lines that wait, and tell how many were left out."""
+        if self._output is None:
+            return
+        self._output.flush()
+        count = self._output.report()
+        if count:
+            self._services.metrics.lines_left_out.inc(count)
+            self._log.warning('lines_left_out', count=count)
 
     def _reload(self) -> None:
         """Check the settings file anew; what is in force needs no restart."""
@@ -288,7 +305,9 @@
 
     async def _drain(self) -> None:
         """Let the callers go, and finish the requests in flight."""
-        self._log.info('stopping', connections=len(self._callers.connections))
+        self._log.warning(
+            'stopping', connections=len(self._callers.connections)
+        )
         ends = self._clock.now() + self._settings.bounds.grace_s - END_MARGIN_S
         self._callers.stopping = True
         await asyncio.sleep(TAKE_S)
@@ -308,14 +327,14 @@
     caller.answer(error.status, headers, refusal_body('', error))
 
 
-def run(path: Path) -> int:
+def run(path: Path, output: BoundedOutput) -> int:
     """Return the exit status of a process with a settings file."""
 
     async def serve() -> None:
-        await GatewayProgram(path).run()
+        await GatewayProgram(path, output).run()
 
     asyncio.run(serve())
     return 0
 
 
-__all__: tuple[Any, ...] = ('GatewayProgram', 'run')
+__all__ = ('GatewayProgram', 'run')
--- a/fuchsiafork/gateway/rollouts.py
+++ b/fuchsiafork/gateway/rollouts.py
@@ -63,6 +63,18 @@
         """Return the trial of a service."""
         return self._trials.get(service)
 
+    def states(self) -> dict[str, dict[str, Any]]:
+        """Return what operators want to know of each trial, by service."""
+        return {
+            service: {
+                'version': trial.order.version,
+                'verdict': trial.verdict.value,
+                'share': trial.share(),
+                'evidence': round(trial.log_evidence(), 2),
+            }
+            for service, trial in self._trials.items()
+        }
+
     def select(
         self,
         service: str,
@@ -116,7 +128,7 @@
             trial.shared = False
             if trial.decide(self._clock.now()) is Verdict.BAD:
                 trial.verdict = Verdict.BAD
-            self._log.info('rollout_unshared', reason=str(error))
+            self._log.warning('rollout_unshared', reason=str(error))
         else:
             trial.shared = True
 
--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -77,6 +77,10 @@
         """Return the number of targets."""
         return len(self._rows)
 
+    def rows(self) -> tuple[TargetRow, ...]:
+        """Return the rows of all targets."""
+        return tuple(self._rows.values())
+
     def get(self, target_id: str) -> TargetRow | None:
         """Return the row of a target."""
         return self._rows.get(target_id)
--- a/fuchsiafork/gateway/watching.py
+++ b/fuchsiafork/gateway/watching.py
@@ -21,6 +21,7 @@
 
     :ivar synced: whether the last call was answered.
     :ivar regained: time at which contact came back, seconds.
+    :ivar contact: time of the last answer, seconds.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         """Watch a prefix, not yet."""
         self.synced = False
         self.regained = clock.now()
+        self.contact = clock.now()
         self._prefix = prefix
         self._store = store
         self._clock = clock
@@ -50,37 +52,44 @@
         listed = False
         while True:
             try:
-                await self._step(take_some if listed else take_all, listed)
-                listed = True
-                self._note(synced=True)
+                changes = await self._ask(listed=listed)
             except HistoryGoneError:
                 listed = False
                 self._log.info('history_gone', prefix=self._prefix)
             except StoreUnavailableError as error:
                 self._note(synced=False, reason=str(error))
                 await asyncio.sleep(RETRY_S * self._chance.uniform(0.5, 1.5))
+            else:
+                self._note(synced=True)
+                take = take_some if listed else take_all
+                take(changes)
+                listed = True
 
-    async def _step(
-        self,
-        take: Callable[[Changes], None],
-        listed: bool,
-    ) -> None:
-        """List or watch once."""
+    async def _ask(self, *, listed: bool) -> Changes:
+        """Return what a listing or a watch brings."""
         if listed:
+            # The first watch after a loss only tells that contact is back.
+            wait = WATCH_S if self.synced else 0.0
             changes = await self._store.watch(
                 self._prefix,
                 self._revision,
-                WATCH_S,
+                wait,
             )
         else:
             changes = await self._store.list_items(self._prefix)
         self._revision = changes.revision
-        take(changes)
+        self.contact = self._clock.now()
+        return changes
 
     def _note(self, *, synced: bool, reason: str = '') -> None:
         """Log when contact with the store is lost or regained."""
         if synced != self.synced:
             kind = 'store_reached' if synced else 'store_lost'
-            self._log.info(kind, prefix=self._prefix, reason=reason)
+            self._log.warning(
+                kind,
+                prefix=self._prefix,
+                revision=self._revision,
+                reason=reason,
+            )
             self.regained = self._clock.now()
         self.synced = synced
--- a/fuchsiafork/observability/logs.py
+++ b/fuchsiafork/observability/logs.py
@@ -9,8 +9,12 @@
 _KEY_ORDER = ('timestamp', 'level', 'logger', 'event')
 
 
-def configure_logs(level: str = 'info') -> None:
-    """Write events of a level and above to standard output."""
+def configure_logs(level: str = 'info', output: Any = None) -> None:
+    """
+    Write events of a level and above.
+
+    :param output: file-like object, standard output if absent.
+    """
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -27,7 +31,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()],
         ),
-        logger_factory=structlog.WriteLoggerFactory(),
+        logger_factory=structlog.WriteLoggerFactory(output),
         cache_logger_on_first_use=False,
     )
 
--- a/fuchsiafork/platform/settings.py
+++ b/fuchsiafork/platform/settings.py
@@ -71,10 +71,17 @@
     ip: str
     # First and last port for traffic between the VMs.
     inner_ports: str = pydantic.Field(alias='internalPorts')
+    # Port for metrics and status; the platform doesn't name one.
+    metrics_port: int = pydantic.Field(9464, alias='metricsPort', ge=1)
     listen: Listen
     store: StoreSection = pydantic.Field(alias='platform')
     bounds: Bounds = Bounds.model_validate({})
 
+    @property
+    def metrics_address(self) -> str:
+        """Address of the pages for operators, IP:PORT."""
+        return f'{self.ip}:{self.metrics_port}'
+
     @property
     def peer_address(self) -> str:
         """Address for calls from other VMs, IP:PORT."""
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -109,6 +109,11 @@
         self._known: Ledger | None = None
         self._prepaid: dict[str, int] = {}
 
+    @property
+    def accounts(self) -> tuple[str, ...]:
+        """Accounts that have a budget."""
+        return tuple(self._prepaid)
+
     @property
     def unsettled(self) -> bool:
         """Whether tokens were used that the ledger doesn't show."""
--- a/fuchsiafork/transport/caller.py
+++ b/fuchsiafork/transport/caller.py
@@ -111,6 +111,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._method = b''
+        self._status = 0
         self._reading = False
         self._pipelined = 0
         self._closing = False
@@ -120,6 +121,11 @@
         """Whether a request is being read or served."""
         return self._task is not None or self._reading
 
+    @property
+    def status(self) -> int:
+        """Status of the answer, 0 before it has begun."""
+        return self._status
+
     @property
     def started(self) -> bool:
         """Whether the answer has begun."""
@@ -186,6 +192,7 @@
 
     def begin(self, status: int, headers: Headers) -> None:
         """Send the head of an answer."""
+        self._status = status
         if self._server.stopping or self._closing:
             headers = [*headers, ('connection', 'close')]
         self._send(h11.Response(status_code=status, headers=headers))
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -143,6 +143,7 @@
             'zones.a=north',
             'ip=127.0.0.1',
             f'internalPorts={peer_port},{peer_port + 1}',
+            f'metricsPort={free_port()}',
             f'listen.front=127.0.0.1:{self.port}',
             f'listen.ready=127.0.0.1:{self.ready_port}',
             f'platform.address={self.store.address}',
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from standins.platform_store import Trouble
 from standins.platform_targets import Behaviour
 from tests.gateway_case import GatewayCase, make_configuration
 
@@ -254,6 +255,23 @@
             await self.call('/look/1', request_id=f'r-{number}')
         self.assertEqual(self.plain[0].runs, [])
 
+    async def test_entries_that_lapsed_while_the_store_was_away(self) -> None:
+        """Guards against no targets at all after an outage of the store."""
+        table = self.gateway._services.targets
+        self.store.trouble = Trouble.RESET
+        for connection in tuple(self.store._callers.connections):
+            connection.abort()
+        await self.eventually(lambda: not self.gateway._registered.synced)
+        for target in self.plain:
+            self.store.content.remove(f'servers/{target.target_id}')
+        self.store.trouble = Trouble.NONE
+        await self.eventually(lambda: self.gateway._registered.synced)
+        self.assertEqual(len(table.of_service('plain')), 2)
+        self.register(self.plain[0])
+        gone = self.plain[1].target_id
+        await self.eventually(lambda: table.get(gone) is None)
+        self.assertEqual((await self.call('/look/1')).status, 200)
+
     async def test_entries_that_cannot_be_read(self) -> None:
         """Guards against a foreign entry that hides the others."""
         self.store.put('servers/odd', {'service': 'plain', 'state': 'up'})
--- /dev/null
+++ b/tests/test_gateway_pages.py
@@ -0,0 +1,118 @@
+"""Log lines, metrics and status of a gateway."""
+
+import asyncio
+import json
+from unittest import mock
+
+from fuchsiafork.gateway.program import GatewayProgram
+from standins.platform_store import Trouble
+from standins.platform_targets import Behaviour
+from tests.gateway_case import GatewayCase
+
+
+class TestLogLines(GatewayCase):
+    """One line for each decision that touches a request."""
+
+    async def start_gateway(self, vm: str) -> GatewayProgram:
+        """Start a gateway whose lines are kept."""
+        with mock.patch('fuchsiafork.gateway.program.get_logger') as make:
+            self.log = make.return_value.bind.return_value
+            return await super().start_gateway(vm)
+
+    def _line(self, level: str, event: str) -> dict[str, object]:
+        """Return the fields of the last line of an event."""
+        calls = getattr(self.log, level).call_args_list
+        found = [call.kwargs for call in calls if call.args == (event,)]
+        self.assertTrue(found, event)
+        return found[-1]
+
+    async def test_answer(self) -> None:
+        """Guards against an answer that nobody can trace."""
+        await self.call('/look/1')
+        line = self._line('info', 'request_answered')
+        self.assertEqual(line['request_id'], 'r-1')
+        self.assertEqual(line['account'], 'acme')
+        self.assertIn(':served', str(line['attempts']))
+        self.assertEqual(line['configuration'], 1)
+
+    async def test_failed_attempt_and_refusal(self) -> None:
+        """Guards against a failure whose target isn't named."""
+        for target in self.plain:
+            target.behaviour = Behaviour(break_after=2)
+        await self.call('/order/1')
+        attempt = self._line('warning', 'attempt_failed')
+        refusal = self._line('warning', 'request_refused')
+        self.assertEqual(attempt['request_id'], refusal['request_id'])
+        self.assertIn(str(attempt['target']), str(refusal['attempts']))
+        self.assertEqual(refusal['run_state'], 'outcome_unknown')
+
+    async def test_caller_that_left(self) -> None:
+        """Guards against callers that vanish from the log."""
+        for target in self.plain:
+            target.behaviour = Behaviour(pause_s=3)
+        task = asyncio.create_task(self.call('/look/1'))
+        await self.eventually(lambda: any(t.runs for t in self.plain))
+        task.cancel()
+        await self.eventually(lambda: self.gateway._in_flight() == 0)
+        self.assertEqual(
+            self._line('warning', 'caller_left')['request_id'],
+            'r-1',
+        )
+
+    async def test_refusal_for_money(self) -> None:
+        """Guards against a refusal whose figures are missing."""
+        await self.ask(key='key-of-poor')
+        line = self._line('warning', 'request_refused')
+        self.assertEqual((line['code'], line['reserved']), (2101, 300))
+
+    async def test_lost_and_regained_store(self) -> None:
+        """Guards against an outage that the log doesn't show."""
+        self.store.trouble = Trouble.RESET
+        for connection in tuple(self.store._callers.connections):
+            connection.abort()
+        await self.eventually(lambda: not self.gateway._configured.synced)
+        self.assertTrue(self._line('warning', 'store_lost')['reason'])
+        self.store.trouble = Trouble.NONE
+        await self.eventually(lambda: self.gateway._configured.synced)
+        self._line('warning', 'store_reached')
+
+    async def test_start_and_reload(self) -> None:
+        """Guards against starts and reloads that the log doesn't show."""
+        self._line('info', 'started')
+        self.gateway._reload()
+        self._line('info', 'settings_reloaded')
+
+
+class TestPages(GatewayCase):
+    """Metrics and status."""
+
+    async def _page(self, path: str) -> bytes:
+        """Return a page for operators."""
+        port = self.gateway._settings.metrics_port
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        head = f'GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
+        writer.write(head.encode())
+        taken = await reader.read(-1)
+        writer.close()
+        return taken.partition(b'\r\n\r\n')[2]
+
+    async def test_metrics(self) -> None:
+        """Guards against counters that don't move."""
+        await self.call('/look/1')
+        await self.call('/nowhere/')
+        page = (await self._page('/metrics')).decode()
+        for line in (
+            'fuchsiafork_gateway_requests_total{route="look",status="200"} 1.0',
+            'refusals_total{code="2004",run_state="not_run"} 1.0',
+            'fuchsiafork_gateway_configuration_version 1.0',
+            'fuchsiafork_gateway_targets{service="plain"} 2.0',
+        ):
+            self.assertIn(line, page)
+
+    async def test_status(self) -> None:
+        """Guards against a status without ages or targets."""
+        status = json.loads(await self._page('/status'))
+        self.assertEqual(status['configuration'], 1)
+        self.assertLess(status['ages_s']['targets'], 5)
+        self.assertEqual(len(status['targets']), 4)
+        self.assertGreater(status['tokens']['acme'], 0)
