--- a/tests/test_process_pages.py
+++ b/tests/test_process_pages.py
@@ -17,7 +17,7 @@
 
 
 class TestPages(unittest.TestCase):
-    """docs/metrics.md and docs/operations.md."""
+    """docs/metrics.md and docs/OPERATIONS.md."""
 
     def test_every_metric_has_its_row(self) -> None:
         """Guards against a metric that nobody explains, or a stale row."""
@@ -38,7 +38,7 @@
 
     def test_operations_page_names_what_exists(self) -> None:
         """Guards against events and pages that are no longer there."""
-        page = (_DOCS / 'operations.md').read_text(encoding='utf-8')
+        page = (_DOCS / 'OPERATIONS.md').read_text(encoding='utf-8')
         for name in _LINK.findall(page):
             self.assertTrue((_DOCS / name).exists(), name)
         sources = ''.join(
