--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -130,11 +130,17 @@
         """Let the callers go, finish the requests in flight, and end."""
         self._stopping.set()
         await self._drain()
+        self.close()
+        self._log.info('stopped')
+
+    def close(self) -> None:
+        """End everything at once."""
         for task in self._tasks:
             task.cancel()
         for listener in self._listeners:
             listener.close()
-        self._log.info('stopped')
+        for connection in tuple(self._callers.connections):
+            connection.abort()
 
     async def _listen(self, address: str, server: CallerServer) -> None:
         """Serve the connections to an address."""
--- /dev/null
+++ b/standins/platform_site.py
@@ -0,0 +1,127 @@
+"""A deployment on the platform: store, replicas and gateways, on loopback."""
+
+import asyncio
+import socket
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from fuchsiafork.gateway.program import GatewayProgram
+from fuchsiafork.kernel import SystemClock
+from standins.platform_store import PlatformStoreServer
+from standins.platform_targets import PlatformTarget
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return int(sock.getsockname()[1])
+
+
+def make_route(
+    prefix: str,
+    kind: str,
+    service: str,
+    **fields: Any,
+) -> dict[str, Any]:
+    """Return a route in the operator's form."""
+    return {
+        'name': prefix.strip('/'),
+        'host': 'shop.example',
+        'prefix': prefix,
+        'kind': kind,
+        'service': service,
+        'timeoutMs': 3000,
+        'targetLatencyMs': 300,
+        'maxAttempts': 1,
+        'priority': 1,
+        'public': False,
+        'sessionAffinity': False,
+        'streamResume': False,
+        'gapAimMs': 100,
+        **fields,
+    }
+
+
+async def eventually(holds: Callable[[], object], seconds: float = 5.0) -> None:
+    """
+    Wait until something holds.
+
+    :raises TimeoutError: if it doesn't in time.
+    """
+    async with asyncio.timeout(seconds):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+class PlatformSite:
+    """
+    Starts and ends what one deployment consists of.
+
+    :ivar ports: of the gateways for callers, by VM.
+    """
+
+    def __init__(self) -> None:
+        """Start with an empty store that doesn't listen yet."""
+        self.store = PlatformStoreServer(SystemClock())
+        self.targets: list[PlatformTarget] = []
+        self.gateways: dict[str, GatewayProgram] = {}
+        self.ports: dict[str, int] = {}
+        self._folder = tempfile.TemporaryDirectory()
+
+    async def start(
+        self,
+        configuration: dict[str, Any],
+        targets: list[PlatformTarget],
+    ) -> None:
+        """Start the store and the replicas, and register these."""
+        await self.store.start()
+        self.store.put('op/config', configuration)
+        for target in targets:
+            await self.add_target(target)
+
+    async def add_target(self, target: PlatformTarget, **changes: Any) -> None:
+        """Start a replica and register it."""
+        await target.start()
+        self.targets.append(target)
+        self.register(target, **changes)
+
+    def register(self, target: PlatformTarget, **changes: Any) -> None:
+        """Write a replica's entry."""
+        entry = {**target.entry, **changes}
+        self.store.put(f'servers/{target.target_id}', entry)
+
+    async def add_gateway(self, vm: str, domain: str) -> GatewayProgram:
+        """Return a gateway once it is ready."""
+        port, peer_port = free_port(), free_port()
+        path = Path(self._folder.name) / f'{vm}.conf'
+        lines = (
+            f'node={vm}',
+            f'zone={domain}',
+            'ip=127.0.0.1',
+            f'internalPorts={peer_port},{peer_port + 1}',
+            f'metricsPort={free_port()}',
+            f'listen.front=127.0.0.1:{port}',
+            f'listen.ready=127.0.0.1:{free_port()}',
+            f'platform.address={self.store.address}',
+            'bounds.graceS=8',
+            'bounds.budgetExtra=56',
+        )
+        path.write_text('\n'.join(lines), encoding='utf-8')
+        gateway = GatewayProgram(path)
+        await gateway.start()
+        await eventually(lambda: gateway.ready)
+        self.gateways[vm] = gateway
+        self.ports[vm] = port
+        return gateway
+
+    async def stop(self) -> None:
+        """End everything at once."""
+        for gateway in self.gateways.values():
+            gateway.close()
+        for target in self.targets:
+            await target.stop()
+        await self.store.stop()
+        self._folder.cleanup()
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import functools
+import time
 from typing import Any
 
 from fuchsiafork.transport.caller import (
@@ -15,6 +16,8 @@
 
 _LIMITS = CallerLimits(65_536, 8_388_608, 5.0, 60.0)
 EVENT_TOKENS = 5
+# Runs that may still be open when another one begins.
+_RECENT = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,15 +66,24 @@
     account: str
     headers: dict[str, str]
     body: bytes
+    started: float
+    events: int = 0
     ended: bool = False
     left: bool = False
 
+    @property
+    def tokens(self) -> int:
+        """Tokens of the prompt and of the events that were sent."""
+        prompt = self.headers.get('x-token-count', '0').partition(',')[0]
+        return int(prompt) + self.events * EVENT_TOKENS
+
 
 class PlatformTarget:
     """
     One replica that registers under an id.
 
     :ivar runs: what it has run, in order.
+    :ivar most_at_once: most runs that were open at one time.
     """
 
     def __init__(self, target_id: str, service: str, domain: str) -> None:
@@ -81,6 +93,7 @@
         self.once: collections.deque[Behaviour] = collections.deque()
         self.runs: list[Run] = []
         self.arrivals = 0
+        self.most_at_once = 0
         self.address = ''
         self._service = service
         self._domain = domain
@@ -143,10 +156,13 @@
             request.header('x-tenant'),
             dict(request.headers),
             request.body,
+            time.monotonic(),
         )
         self.runs.append(run)
+        open_runs = sum(not one.ended for one in self.runs[-_RECENT:])
+        self.most_at_once = max(self.most_at_once, open_runs)
         try:
-            await self._answer(request, caller, does)
+            await self._answer(request, caller, does, run)
         except asyncio.CancelledError:
             run.left = True
             raise
@@ -158,6 +174,7 @@
         request: CallerRequest,
         caller: CallerConnection,
         does: Behaviour,
+        run: Run,
     ) -> None:
         """Send the answer."""
         await asyncio.sleep(does.pause_s)
@@ -172,7 +189,7 @@
         if not does.unsealed:
             headers.append(('x-response-seal', f'mac-{request_id}'))
         if does.events:
-            await self._stream(request, caller, does, headers)
+            await self._stream(caller, does, headers, run)
         else:
             _send_whole(caller, does, headers, request_id)
         if does.extra:
@@ -180,14 +197,14 @@
 
     async def _stream(
         self,
-        request: CallerRequest,
         caller: CallerConnection,
         does: Behaviour,
         headers: list[tuple[str, str]],
+        run: Run,
     ) -> None:
         """Send events, from the one after that which the caller has."""
         caller.begin(200, [*headers, ('content-type', 'text/event-stream')])
-        first = int(request.header('last-event-id') or '0') + 1
+        first = int(run.headers.get('last-event-id', '0')) + 1
         for number in range(first, does.events + 1):
             if 0 <= does.break_after < number:
                 if does.break_in_event:
@@ -195,6 +212,7 @@
                 caller.abort()
                 return
             caller.write(f'id: {number}\ndata: piece-{number}\n\n'.encode())
+            run.events += 1
             await asyncio.sleep(does.pause_s)
         caller.finish()
 
