--- a/fuchsiafork/transport/caller.py
+++ b/fuchsiafork/transport/caller.py
@@ -311,8 +311,8 @@
         if self._transport is not None and not self._transport.is_reading():
             self._transport.resume_reading()
         self._start_timer(self._server.limits().idle_timeout_s, self.close)
-        if self._pipelined:
-            self._pipelined = 0
+        self._pipelined = 0
+        if self._parser.trailing_data[0]:
             self._begin_reading()
             self._read()
 
