--- a/fuchsiafork/gateway/exchange.py
+++ b/fuchsiafork/gateway/exchange.py
@@ -60,6 +60,7 @@
         except FuchsiaforkError as fault:
             error = fault
         except asyncio.CancelledError:
+            self._settle()
             self._log_left()
             raise
         finally:
--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -36,6 +36,8 @@
 WAIT_S = 1.0
 WAIT_SHARE = 0.3
 RETRY_AFTER_S = 1.0
+# A write that is overdue by so much waits for a store that doesn't answer.
+OVERDUE_S = 2.2
 # A record read this long ago still tells whether tokens are free.
 FRESH_S = 0.8
 # Other VMs that are asked for the tokens of one request.
@@ -108,7 +110,7 @@
                 continue
             left = until - self._clock.now()
             if left <= 0 or self._hopeless(account, tokens):
-                raise self._unreachable(tokens)
+                raise self._unreachable(account, tokens)
             await self._wait_round(left)
 
     def settle(self, reservation: Reservation, tokens: int) -> None:
@@ -152,7 +154,7 @@
 
     def _hopeless(self, account: str, tokens: int) -> bool:
         """Return whether a write now would not bring the tokens."""
-        if not self._reached:
+        if not self._reached or self.age_s > OVERDUE_S:
             return True
         fresh = self._clock.now() - self._synced_at < FRESH_S
         return fresh and self._purse.within_reach(account) < tokens
@@ -226,10 +228,12 @@
             self._log.warning(kind, reason=reason)
         self._reached = reached
 
-    def _unreachable(self, tokens: int) -> FuchsiaforkError:
+    def _unreachable(self, account: str, tokens: int) -> FuchsiaforkError:
         """Return what to tell a caller whose tokens are elsewhere."""
         place = 'other VMs' if self._reached else 'the store'
+        have = self._purse.available(account)
         return BudgetUnreachableError(
-            f'{tokens} tokens may be left, but {place} would have to give them',
+            f'{tokens} tokens needed, {have} at hand, more with {place}; '
+            f'ledger {self.age_s:.1f} s old',
             retry_after=RETRY_AFTER_S,
         )
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -184,7 +184,12 @@
     def _make_services(self, settings: VmSettings) -> Services:
         """Compose what the exchanges share."""
         clock, chance, log = self._clock, self._chance, self._log
-        store = PlatformStore(settings.store.address, self._pool)
+        metrics = GatewayMetrics()
+        store = PlatformStore(
+            settings.store.address,
+            self._pool,
+            lambda outcome: metrics.store_calls.labels(outcome).inc(),
+        )
         holder = f'{settings.vm}#{secrets.token_hex(4)}'
         purse = Purse(holder, settings.peer_address, clock)
         peers = Peers(purse, self._pool, clock, log)
@@ -210,7 +215,7 @@
             clock=clock,
             chance=chance,
             log=log,
-            metrics=GatewayMetrics(),
+            metrics=metrics,
             targets=table,
             pool=self._pool,
             reach=reach,
--- a/fuchsiafork/gateway/sending.py
+++ b/fuchsiafork/gateway/sending.py
@@ -64,6 +64,14 @@
         call = TargetCall(row, services.pool, services.clock)
         left = max(0.0, deadline - services.clock.now())
         row.in_flight += 1
+        services.log.info(
+            'request_sent',
+            request_id=self._record.request_id,
+            target=row.target.target_id,
+            domain=row.target.domain,
+            in_flight=row.in_flight,
+            left_s=round(left, 3),
+        )
         outcome = 'given_up'
         try:
             failure = await self._answering.attempt(call, left)
--- a/fuchsiafork/observability/output.py
+++ b/fuchsiafork/observability/output.py
@@ -15,7 +15,11 @@
 WAITING_BYTES = 262_144
 
 # Events of which there are as many as requests.
-_ORDINARY = (' event=request_answered ', ' event=tokens_given ')
+_ORDINARY = (
+    ' event=request_answered ',
+    ' event=request_sent ',
+    ' event=tokens_given ',
+)
 
 
 class LineBudget:
--- a/fuchsiafork/operator_cli/__main__.py
+++ b/fuchsiafork/operator_cli/__main__.py
@@ -17,7 +17,14 @@
     FuchsiaforkError,
     StoreUnavailableError,
 )
-from fuchsiafork.operator_cli import budgets, config, fleet, rollouts, targets
+from fuchsiafork.operator_cli import (
+    budgets,
+    config,
+    fleet,
+    gateways,
+    rollouts,
+    targets,
+)
 from fuchsiafork.operator_cli.lookup import NotFoundError
 from fuchsiafork.operator_cli.output import Exit
 
@@ -31,6 +38,7 @@
 app = cyclopts.App(name='fuchsiafork', help=__doc__)
 app.command(budgets.app)
 app.command(config.app)
+app.command(gateways.app)
 app.command(rollouts.app)
 app.command(targets.app)
 fleet.register(app)
--- /dev/null
+++ b/fuchsiafork/operator_cli/gateways.py
@@ -0,0 +1,108 @@
+"""Commands on gateways."""
+
+import json
+from pathlib import Path
+from typing import Annotated, Any
+
+import cyclopts
+import urllib3
+
+from fuchsiafork.kernel.errors import (
+    ConfigurationError,
+    StoreUnavailableError,
+)
+from fuchsiafork.operator_cli.options import AsJson
+from fuchsiafork.operator_cli.output import Exit, show_rows
+from fuchsiafork.platform.documents import read_catalog
+from fuchsiafork.platform.settings import load_vm_settings
+
+CALL_TIMEOUT_S = 2.0
+
+app = cyclopts.App(name='gateway', help='Check and show gateways.')
+
+
+@app.command
+def check(
+    *,
+    settings: Path | None = None,
+    configuration: Path | None = None,
+) -> int:
+    """
+    Check files in the platform's form before use.
+
+    :param settings: settings file of a VM.
+    :param configuration: configuration as an operator writes it.
+    """
+    if settings is not None:
+        found = load_vm_settings(settings)
+        print(f'{settings}: VM {found.vm!r} in {found.domain!r}')
+    if configuration is not None:
+        _check_configuration(configuration)
+    return Exit.OK
+
+
+@app.command
+def status(
+    address: Annotated[
+        str,
+        cyclopts.Parameter(help='IP:PORT of the metrics of a VM.'),
+    ],
+    *,
+    json_form: AsJson = False,
+) -> int:
+    """Show what a VM has in force, and how old it is."""
+    found = _fetch(address)
+    if json_form:
+        print(json.dumps(found))
+        return Exit.OK
+    print(f'configuration {found["configuration"]}')
+    ages = ', '.join(f'{name} {age} s' for name, age in found['ages_s'].items())
+    print(f'contact: {ages}')
+    show_rows(found['targets'], as_json=False)
+    show_rows(
+        [
+            {'account': account, 'tokens': tokens}
+            for account, tokens in found['tokens'].items()
+        ],
+        as_json=False,
+    )
+    for service, trial in found['rollouts'].items():
+        print(f'rollout of {service}: {trial}')
+    return Exit.OK
+
+
+def _check_configuration(path: Path) -> None:
+    """
+    Print what a configuration holds.
+
+    :raises ConfigurationError: with the file and each field that is wrong.
+    """
+    try:
+        catalog = read_catalog(path.read_bytes())
+    except OSError as error:
+        raise ConfigurationError(f'{path}: {error}') from None
+    except ConfigurationError as error:
+        raise ConfigurationError(f'{path}: {error}') from None
+    routes = sum(len(rows) for rows in catalog.routes.values())
+    print(
+        f'{path}: version {catalog.version}, {routes} routes, '
+        f'{len(catalog.services)} services, {len(catalog.prepaid)} budgets',
+    )
+
+
+def _fetch(address: str) -> dict[str, Any]:
+    """
+    Return the status of a VM.
+
+    :raises StoreUnavailableError: if it doesn't answer.
+    """
+    try:
+        answer = urllib3.request(
+            'GET',
+            f'http://{address}/status',
+            timeout=CALL_TIMEOUT_S,
+            retries=False,
+        )
+        return dict(answer.json())
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        raise StoreUnavailableError(f'{address}: {error}') from None
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import urllib.parse
+from collections.abc import Callable
 from typing import Any
 
 from fuchsiafork.kernel.errors import StoreUnavailableError
@@ -69,13 +70,28 @@
     current: tuple[Item, ...] = ()
 
 
+def _ignore(outcome: str) -> None:
+    """Count nothing."""
+
+
 class PlatformStore:
     """Calls over kept connections, one call a connection at a time."""
 
-    def __init__(self, address: str, pool: ConnectionPool) -> None:
-        """Call the store at IP:PORT."""
+    def __init__(
+        self,
+        address: str,
+        pool: ConnectionPool,
+        count: Callable[[str], None] = _ignore,
+    ) -> None:
+        """
+        Call the store at IP:PORT.
+
+        :param count: called with the outcome of each call: ``answered``,
+            ``unavailable`` if it was not made, or ``unknown``.
+        """
         self.address = address
         self._pool = pool
+        self._count = count
 
     async def read(self, key: str) -> Item:
         """
@@ -194,9 +210,12 @@
                 timeout_s,
             )
         except ConnectError as error:
+            self._count('unavailable')
             raise StoreUnavailableError(str(error)) from None
         except BrokenAnswerError as error:
+            self._count('unknown')
             raise StoreOutcomeUnknownError(f'{path}: {error}') from None
+        self._count('answered')
         return answer
 
 
--- a/fuchsiafork/transport/target.py
+++ b/fuchsiafork/transport/target.py
@@ -179,7 +179,8 @@
         try:
             event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
-            raise self._broken(str(error)) from None
+            reason = 'the answer ended' if self._ended else str(error)
+            raise self._broken(reason) from None
         if event is h11.NEED_DATA and self._ended:
             raise self._broken('the answer ended')
         if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -165,7 +165,7 @@
         stream = b''.join(
             f'id: {n}\ndata: {"x" * n}\n\n'.encode() for n in range(1, 9)
         )
-        for cut in range(1, len(stream)):
+        for cut, _ in enumerate(stream):
             relay = EventRelay()
             first = relay.feed(stream[:cut])
             count = first.count(b'\n\n')
--- /dev/null
+++ b/tests/test_operator_gateways.py
@@ -0,0 +1,63 @@
+"""Operators' commands on gateways."""
+
+import asyncio
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+from fuchsiafork.operator_cli.__main__ import run
+from fuchsiafork.operator_cli.output import Exit
+from tests.gateway_case import GatewayCase, make_configuration
+
+
+def _run(*words: str) -> tuple[int, str]:
+    """Return the exit code of a command and what it printed."""
+    printed = io.StringIO()
+    with (
+        contextlib.redirect_stdout(printed),
+        contextlib.redirect_stderr(printed),
+    ):
+        code = run(words)
+    return code, printed.getvalue()
+
+
+class TestGatewayCommands(GatewayCase):
+    """``fuchsiafork gateway``."""
+
+    async def test_status(self) -> None:
+        """Guards against a status that operators can't read."""
+        port = self.gateway._settings.metrics_port
+        address = f'127.0.0.1:{port}'
+        code, text = await asyncio.to_thread(_run, 'gateway', 'status', address)
+        self.assertEqual(code, Exit.OK)
+        for part in ('configuration 1', 'p-1', 'acme', 'ledger'):
+            self.assertIn(part, text)
+
+    async def test_status_of_nobody(self) -> None:
+        """Guards against a trace back where nothing listens."""
+        words = ('gateway', 'status', '127.0.0.1:1')
+        code, text = await asyncio.to_thread(_run, *words)
+        self.assertEqual(code, Exit.UNAVAILABLE)
+        self.assertIn('127.0.0.1:1', text)
+
+    async def test_check(self) -> None:
+        """Guards against files that are found wrong only in use."""
+        with tempfile.TemporaryDirectory() as folder:
+            good = Path(folder) / 'good.json'
+            good.write_text(json.dumps(make_configuration()), encoding='utf-8')
+            bad = Path(folder) / 'bad.json'
+            bad.write_text('{"version": "x"}', encoding='utf-8')
+            node = Path(folder) / 'node.conf'
+            node.write_text('node=a-1\n', encoding='utf-8')
+            words = ('gateway', 'check', '--configuration')
+            code, text = _run(*words, str(good))
+            self.assertEqual(code, Exit.OK)
+            self.assertIn('6 routes', text)
+            code, text = _run(*words, str(bad))
+            self.assertEqual(code, Exit.INVALID)
+            self.assertIn('bad.json', text)
+            code, text = _run('gateway', 'check', '--settings', str(node))
+            self.assertEqual(code, Exit.USAGE)
+            self.assertIn('zone', text)
