--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -21,7 +21,7 @@
 LIVE_S = 20.0
 # A process that started on a VM within this time of the last write of the
 # process before it knows how much that one has spent at most.
-RECLAIM_S = 7.0
+RECLAIM_S = 9.0
 # Two clocks that agree within this are both taken as right.
 _CLOCK_SLACK_S = 0.5
 # Seconds by which the calendar time alone may be wrong.
@@ -217,19 +217,23 @@
     Return the most seconds from a write to the end of its process.
 
     The calendar time may jump, and the time since the start of the VM
-    begins anew after a loss of power; if they agree, both are right.
+    begins anew after a loss of power. If they agree, both are right; if one
+    of them can explain the difference, its error is added.
 
     :return: None if it can't be told, or is too long.
     """
     by_wall = started.wall - written.wall
     by_boot = started.boot - written.boot
-    if abs(by_wall - by_boot) <= _CLOCK_SLACK_S:
+    apart = by_boot - by_wall
+    if abs(apart) <= _CLOCK_SLACK_S:
         elapsed = max(by_wall, by_boot)
-    elif by_wall >= 0 and (by_boot < 0 or by_boot - by_wall > _NO_JUMP_S):
+    elif abs(apart) <= _CLOCK_SLACK_S + _CLOCK_JUMP_S:
+        elapsed = max(by_wall, by_boot) + _CLOCK_JUMP_S
+    elif by_wall >= 0 and (by_boot < 0 or apart > _NO_JUMP_S):
         elapsed = by_wall + _CLOCK_JUMP_S
     else:
         return None
-    return elapsed if elapsed <= RECLAIM_S else None
+    return elapsed if 0 <= elapsed <= RECLAIM_S else None
 
 
 def _vm(holder: str) -> str:
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -20,7 +20,7 @@
 SPARE_DIVISOR = 4
 # For so long after it sent a write, a process spends only what its shares'
 # windows and rates allow, so that a successor knows how much that is.
-WINDOW_ONLY_S = 7.5
+WINDOW_ONLY_S = 9.5
 
 
 @dataclasses.dataclass(slots=True)
--- a/fuchsiafork/prepaid/sizing.py
+++ b/fuchsiafork/prepaid/sizing.py
@@ -14,7 +14,7 @@
 # seconds of demand at once, and then this many times the demand. A demand of
 # less than a share of the tokens left counts as that.
 WINDOW_S = 1.0
-RATE_FACTOR = 1.25
+RATE_FACTOR = 1.5
 LEAST_DEMAND_SHARE = 0.025
 # Part of a VM's share that goes by its demand; the rest is equal for all.
 BY_DEMAND = 0.6
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -233,6 +233,17 @@
         self.clock._boot -= 7.0
         self.assertEqual(self._successor_free(), PREPAID - self.granted)
 
+    def test_clock_that_was_set_back_a_little(self) -> None:
+        """Guards against withholding all, and against freeing too much."""
+        for jump in (-2.4, 2.4):
+            self.setUp()
+            self.clock.advance(2.0)
+            spent = self.victim.available('acme')
+            self.clock._boot += jump
+            free = self._successor_free()
+            self.assertGreater(free, PREPAID - self.granted)
+            self.assertLessEqual(free, PREPAID - spent)
+
     def test_successor_after_a_loss_of_power(self) -> None:
         """Guards against withholding the whole grant after a reboot."""
         for boot in (-40_000.0, 40_000.0):
