--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -26,6 +26,9 @@
 )
 
 LEDGER_KEY = 'fuchsiafork/ledger'
+# VMs up to which each one writes at its usual rate. All write one record, so
+# the store sees no more writes of a larger fleet.
+USUAL_FLEET = 8
 # Seconds between two writes while tokens are used.
 SYNC_S = 1.5
 # Least seconds between two writes, when requests wait for tokens.
@@ -122,8 +125,8 @@
         while True:
             if self._wanted:
                 await self._sync()
-                await asyncio.sleep(SHORTAGE_SYNC_S)
-            period = SYNC_S * self._chance.uniform(0.8, 1.2)
+                await asyncio.sleep(SHORTAGE_SYNC_S * self._scale)
+            period = SYNC_S * self._scale * self._chance.uniform(0.8, 1.2)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(period):
                     await self._due.wait()
@@ -134,6 +137,11 @@
         self._purse.leave()
         await self._sync()
 
+    @property
+    def _scale(self) -> float:
+        """How much less often each VM of a large fleet writes."""
+        return max(1.0, self._purse.fleet / USUAL_FLEET)
+
     @property
     def _wanted(self) -> bool:
         """Whether a write would change anything."""
@@ -154,9 +162,9 @@
 
     def _hopeless(self, account: str, tokens: int) -> bool:
         """Return whether a write now would not bring the tokens."""
-        if not self._reached or self.age_s > OVERDUE_S:
+        if not self._reached or self.age_s > OVERDUE_S * self._scale:
             return True
-        fresh = self._clock.now() - self._synced_at < FRESH_S
+        fresh = self.age_s < FRESH_S * self._scale
         return fresh and self._purse.within_reach(account) < tokens
 
     async def _wait_round(self, seconds: float) -> None:
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -14,7 +14,7 @@
 
 from fuchsiafork.kernel.errors import StoreFormatError
 
-_MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
+_MALFORMED = (ValueError, TypeError, LookupError, AttributeError)
 
 # A holder that hasn't written for this long counts as gone when grants are
 # sized; it keeps its grant all the same.
@@ -146,9 +146,16 @@
 
 
 def encode_ledger(ledger: Ledger) -> bytes:
-    """Return a ledger in the form that is stored."""
+    """
+    Return a ledger in the form that is stored.
+
+    Shares name their holders by number, since there is one for each holder
+    and account.
+    """
+    names = _share_holders(ledger)
+    numbers = {name: number for number, name in enumerate(names)}
     accounts = {
-        name: [entry.spent, _encode_shares(entry.shares)]
+        name: [entry.spent, _encode_shares(entry.shares, numbers)]
         for name, entry in ledger.accounts.items()
     }
     holders = {
@@ -160,7 +167,7 @@
         ]
         for name, holder in ledger.holders.items()
     }
-    stored = {'accounts': accounts, 'holders': holders}
+    stored = {'names': names, 'accounts': accounts, 'holders': holders}
     return json.dumps(stored, separators=(',', ':')).encode()
 
 
@@ -180,8 +187,9 @@
 
 def _read(stored: Any) -> Ledger:
     """Return the ledger in a decoded value."""
+    names = stored['names']
     accounts = {
-        name: AccountEntry(int(spent), _read_shares(shares))
+        name: AccountEntry(int(spent), _read_shares(shares, names))
         for name, (spent, shares) in stored['accounts'].items()
     }
     holders = {
@@ -195,20 +203,31 @@
     return Ledger(accounts, holders)
 
 
-def _encode_shares(shares: dict[str, Share]) -> dict[str, list[int]]:
+def _share_holders(ledger: Ledger) -> list[str]:
+    """Return the holders of all shares, each once."""
+    names: dict[str, None] = {}
+    for entry in ledger.accounts.values():
+        names.update(dict.fromkeys(entry.shares))
+    return list(names)
+
+
+def _encode_shares(
+    shares: dict[str, Share],
+    numbers: dict[str, int],
+) -> list[list[int]]:
     """Return shares in the form that is stored, empty ones left out."""
-    return {
-        holder: [share.grant, share.window, share.rate, share.demand]
+    return [
+        [numbers[holder], share.grant, share.window, share.rate, share.demand]
         for holder, share in shares.items()
         if share.grant or share.demand
-    }
+    ]
 
 
-def _read_shares(stored: Any) -> dict[str, Share]:
+def _read_shares(stored: Any, names: list[str]) -> dict[str, Share]:
     """Return the shares in a decoded value."""
     return {
-        holder: Share(*(int(count) for count in counts))
-        for holder, counts in stored.items()
+        names[number]: Share(*(int(count) for count in counts))
+        for number, *counts in stored
     }
 
 
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -114,6 +114,13 @@
         """Accounts that have a budget."""
         return tuple(self._prepaid)
 
+    @property
+    def fleet(self) -> int:
+        """Number of VMs that have written lately, at least one."""
+        if self._known is None:
+            return 1
+        return max(1, len(self._known.live(self._clock.wall())))
+
     @property
     def unsettled(self) -> bool:
         """Whether tokens were used that the ledger doesn't show."""
--- a/fuchsiafork/prepaid/sizing.py
+++ b/fuchsiafork/prepaid/sizing.py
@@ -15,7 +15,7 @@
 # less than a share of the tokens left counts as that.
 WINDOW_S = 1.0
 RATE_FACTOR = 1.5
-LEAST_DEMAND_SHARE = 0.025
+LEAST_DEMAND_SHARE = 0.015
 # Part of a VM's share that goes by its demand; the rest is equal for all.
 BY_DEMAND = 0.6
 # A grant is lowered when it is this many times larger than its target, or
