--- a/fuchsiafork/gateway/catalog.py
+++ b/fuchsiafork/gateway/catalog.py
@@ -5,6 +5,8 @@
 import hashlib
 import random
 
+from fuchsiafork.transport.caller import CallerLimits
+
 
 class CallKind(enum.Enum):
     """What may be done with a request of a route."""
@@ -14,16 +16,6 @@
     STREAM = 'stream'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
-    """Bounds on what a caller may send, and on how long it may take."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 1_048_576
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Split:
     """Part of a route's requests that goes to one service."""
@@ -116,7 +108,7 @@
     routes: dict[str, tuple[Route, ...]]
     services: dict[str, Service]
     accounts: dict[bytes, Account]
-    limits: Limits
+    limits: CallerLimits
     keyed: bool
 
     @property
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -3,26 +3,14 @@
 import asyncio
 import contextlib
 import functools
-import random
-import secrets
 import signal
 from pathlib import Path
 
-from fuchsiafork.gateway.catalog import Catalog, Limits
+from fuchsiafork.gateway.catalog import Catalog
+from fuchsiafork.gateway.composition import compose, make_repeats
 from fuchsiafork.gateway.exchange import Exchange
-from fuchsiafork.gateway.metrics import GatewayMetrics
-from fuchsiafork.gateway.money import Money
 from fuchsiafork.gateway.pages import OperatorPages, ReadinessPage
-from fuchsiafork.gateway.peers import Peers
-from fuchsiafork.gateway.placement import Placement
-from fuchsiafork.gateway.reach import Reach
-from fuchsiafork.gateway.registry import ConfigurationFeed, TargetFeed
-from fuchsiafork.gateway.repeats import RepeatBudget
-from fuchsiafork.gateway.rollouts import Rollouts
-from fuchsiafork.gateway.services import Services
-from fuchsiafork.gateway.targets import TargetTable
-from fuchsiafork.gateway.watching import Watcher
-from fuchsiafork.kernel import SystemClock
+from fuchsiafork.gateway.registry import ConfigurationFeed
 from fuchsiafork.kernel.errors import (
     BadRequestError,
     FuchsiaforkError,
@@ -36,17 +24,14 @@
 from fuchsiafork.observability.logs import get_logger
 from fuchsiafork.observability.output import BoundedOutput
 from fuchsiafork.platform import headers as wire
-from fuchsiafork.platform import names
-from fuchsiafork.platform.settings import VmSettings, load_vm_settings
-from fuchsiafork.platform.store import Changes, PlatformStore
-from fuchsiafork.prepaid import Purse
+from fuchsiafork.platform.settings import load_vm_settings
+from fuchsiafork.platform.store import Changes
 from fuchsiafork.transport.caller import (
     CallerConnection,
     CallerLimits,
     CallerRequest,
     CallerServer,
 )
-from fuchsiafork.transport.pool import ConnectionPool
 
 # Callers waiting to be accepted.
 BACKLOG = 512
@@ -87,12 +72,12 @@
         self._log = get_logger('fuchsiafork.gateway').bind(
             vm=self._settings.vm,
         )
-        self._clock = SystemClock()
-        self._chance = random.Random(secrets.randbits(64))
-        self._pool = ConnectionPool(self._clock)
         self._stopping = asyncio.Event()
         self._refusing = False
-        self._services = self._make_services(self._settings)
+        self._parts = compose(self._settings, self._log)
+        self._services = self._parts.services
+        self._clock = self._services.clock
+        self._changed_at = path.stat().st_mtime_ns
         self._callers = CallerServer(self._serve, self._reject, self._limits)
         self._pages = OperatorPages(self._services, self._ages, self._in_flight)
         readiness = ReadinessPage(lambda: self.ready)
@@ -108,7 +93,9 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send callers here."""
-        known = self._services.catalog is not None and self._targets.listed
+        known = (
+            self._services.catalog is not None and self._parts.targets.listed
+        )
         return known and not self._stopping.is_set()
 
     async def run(self) -> None:
@@ -168,11 +155,11 @@
             self._services.rollouts.take(changes)
 
         watches = (
-            self._configured.run(take_operator, take_operator),
+            self._parts.configured.run(take_operator, take_operator),
             self._services.rollouts.run(),
-            self._registered.run(
-                self._targets.take_all,
-                self._targets.take_some,
+            self._parts.registered.run(
+                self._parts.targets.take_all,
+                self._parts.targets.take_some,
             ),
             self._services.money.run(),
             self._tick(),
@@ -181,55 +168,6 @@
         for task in self._tasks:
             task.add_done_callback(self._note_end)
 
-    def _make_services(self, settings: VmSettings) -> Services:
-        """Compose what the exchanges share."""
-        clock, chance, log = self._clock, self._chance, self._log
-        metrics = GatewayMetrics()
-        store = PlatformStore(
-            settings.store.address,
-            self._pool,
-            lambda outcome: metrics.store_calls.labels(outcome).inc(),
-        )
-        holder = f'{settings.vm}#{secrets.token_hex(4)}'
-        purse = Purse(holder, settings.peer_address, clock)
-        peers = Peers(purse, self._pool, clock, log)
-        table = TargetTable()
-        self._configured = Watcher(
-            names.OPERATOR_PREFIX,
-            store,
-            clock,
-            chance,
-            log,
-        )
-        self._registered = Watcher(
-            names.TARGETS_PREFIX,
-            store,
-            clock,
-            chance,
-            log,
-        )
-        self._targets = TargetFeed(table, self._registered, clock, log)
-        bounds = settings.bounds
-        reach = Reach()
-        return Services(
-            clock=clock,
-            chance=chance,
-            log=log,
-            metrics=metrics,
-            targets=table,
-            pool=self._pool,
-            reach=reach,
-            placement=Placement(settings.domain, reach, chance),
-            repeats=RepeatBudget(
-                bounds.retry_ratio,
-                bounds.retry_extra,
-                bounds.retry_window_s,
-            ),
-            peers=peers,
-            rollouts=Rollouts(holder, store, clock, log),
-            money=Money(purse, peers, store, clock, chance, log),
-        )
-
     def _apply(self, catalog: Catalog) -> None:
         """Put a configuration into force."""
         self._services.catalog = catalog
@@ -238,13 +176,7 @@
     def _limits(self) -> CallerLimits:
         """Return the bounds on callers in force."""
         catalog = self._services.catalog
-        limits = catalog.limits if catalog else Limits()
-        return CallerLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
+        return catalog.limits if catalog else CallerLimits()
 
     async def _serve(
         self,
@@ -262,8 +194,8 @@
         """Return the seconds since contact, by what it was about."""
         now = self._clock.now()
         return {
-            'configuration': now - self._configured.contact,
-            'targets': now - self._registered.contact,
+            'configuration': now - self._parts.configured.contact,
+            'targets': now - self._parts.registered.contact,
             'ledger': self._services.money.age_s,
         }
 
@@ -286,11 +218,12 @@
         """Run what goes by time."""
         while True:
             await asyncio.sleep(TICK_S)
-            self._services.targets_at = self._registered.contact
+            self._services.targets_at = self._parts.registered.contact
             for target_id in self._services.targets.expire(self._clock.now()):
                 self._log.info('target_gone', target=target_id)
-            self._pool.sweep()
+            self._services.pool.sweep()
             self._flush_log()
+            self._reload_changed()
 
     def _flush_log(self) -> None:
         """Write lines that wait, and tell how many were left out."""
@@ -303,13 +236,27 @@
             self._log.warning('lines_left_out', count=count)
 
     def _reload(self) -> None:
-        """Check the settings file anew; what is in force needs no restart."""
+        """Take over what has changed in the settings file."""
         try:
-            self._settings = load_vm_settings(self._path)
+            settings = load_vm_settings(self._path)
         except SettingsError as error:
             self._log.error('settings_invalid', reason=str(error))
-        else:
-            self._log.info('settings_reloaded')
+            return
+        self._settings = settings
+        self._parts.store.address = settings.store.address
+        self._services.repeats = make_repeats(settings)
+        self._log.info('settings_reloaded', store=settings.store.address)
+
+    def _reload_changed(self) -> None:
+        """Reload the settings if their file has changed without a signal."""
+        try:
+            changed_at = self._path.stat().st_mtime_ns
+        except OSError as error:
+            self._log.warning('settings_missing', reason=str(error))
+            return
+        if changed_at != self._changed_at:
+            self._changed_at = changed_at
+            self._reload()
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
         """End the process if one of its systems has failed."""
--- a/fuchsiafork/platform/documents.py
+++ b/fuchsiafork/platform/documents.py
@@ -10,7 +10,6 @@
     Account,
     CallKind,
     Catalog,
-    Limits,
     Route,
     Service,
     Split,
@@ -19,6 +18,7 @@
 )
 from fuchsiafork.gateway.targets import Target
 from fuchsiafork.kernel.errors import ConfigurationError
+from fuchsiafork.transport.caller import CallerLimits
 
 _MS_PER_S = 1000.0
 _KINDS = {
@@ -195,9 +195,9 @@
     )
 
 
-def _to_limits(limits: _Limits) -> Limits:
+def _to_limits(limits: _Limits) -> CallerLimits:
     """Return the limits on callers in the product's form."""
-    return Limits(
+    return CallerLimits(
         header_bytes=limits.max_header_bytes,
         body_bytes=limits.max_body_bytes,
         header_timeout_s=limits.header_timeout_ms / _MS_PER_S,
--- a/fuchsiafork/transport/caller.py
+++ b/fuchsiafork/transport/caller.py
@@ -27,10 +27,10 @@
 class CallerLimits:
     """Bounds on a request and on the time that its connection is idle."""
 
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    header_bytes: int = 16_384
+    body_bytes: int = 1_048_576
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/standins/loopback.py
@@ -0,0 +1,59 @@
+"""An HTTP server of a stand-in, on loopback."""
+
+import asyncio
+import functools
+
+from fuchsiafork.transport.caller import (
+    CallerConnection,
+    CallerLimits,
+    CallerServer,
+    Serve,
+)
+
+_LIMITS = CallerLimits(65_536, 8_388_608, 5.0, 60.0)
+
+
+class LoopbackServer:
+    """
+    Listens on a free port.
+
+    :ivar address: IP:PORT, once started.
+    """
+
+    def __init__(
+        self,
+        serve: Serve,
+        connection: type[CallerConnection] = CallerConnection,
+    ) -> None:
+        """Answer requests by a function."""
+        self.address = ''
+        self.shared = CallerServer(serve, _refuse, lambda: _LIMITS)
+        self._connection = connection
+        self._listener: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            functools.partial(self._connection, self.shared),
+            '127.0.0.1',
+            0,
+        )
+        host, port = self._listener.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    def break_connections(self) -> None:
+        """End all connections at once."""
+        for connection in tuple(self.shared.connections):
+            connection.abort()
+
+    def stop(self) -> None:
+        """Close the socket and the connections."""
+        self.break_connections()
+        if self._listener is not None:
+            self._listener.close()
+
+
+def _refuse(status: int, reason: str, caller: CallerConnection) -> None:
+    """Refuse a request that can't be read."""
+    caller.answer(status, [], reason.encode())
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -122,6 +122,6 @@
         for gateway in self.gateways.values():
             gateway.close()
         for target in self.targets:
-            await target.stop()
-        await self.store.stop()
+            target.stop()
+        self.store.stop()
         self._folder.cleanup()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -11,16 +11,11 @@
 from typing import Any
 
 from fuchsiafork.kernel import Clock
-from fuchsiafork.transport.caller import (
-    CallerConnection,
-    CallerLimits,
-    CallerRequest,
-    CallerServer,
-)
+from fuchsiafork.transport.caller import CallerConnection, CallerRequest
+from standins.loopback import LoopbackServer
 
 _MS_PER_S = 1000
 _WINDOW_S = 1.0
-_LIMITS = CallerLimits(65_536, 8_388_608, 5.0, 60.0)
 
 
 class Trouble(enum.Enum):
@@ -142,31 +137,24 @@
         self.late_s = 0.0
         self.page_items = 500
         self.calls: collections.Counter[str] = collections.Counter()
-        self.address = ''
         self._clock = clock
         self._writes_per_s = writes_per_s
         self._writes: collections.deque[float] = collections.deque()
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
-        self._callers = CallerServer(self._serve, _refuse, lambda: _LIMITS)
+        self.server = LoopbackServer(self._serve)
+
+    @property
+    def address(self) -> str:
+        """IP:PORT, once started."""
+        return self.server.address
 
     async def start(self) -> None:
         """Listen on a free port."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self._callers),
-            '127.0.0.1',
-            0,
-        )
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f'{host}:{port}'
+        await self.server.start()
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Close the socket and the connections."""
-        for connection in tuple(self._callers.connections):
-            connection.abort()
-        if self._server is not None:
-            self._server.close()
+        self.server.stop()
 
     def put(self, key: str, value: Any) -> None:
         """Write a JSON value as the operator or a target would."""
@@ -361,8 +349,3 @@
         'createRevision': item.created,
         'lease': item.lease,
     }
-
-
-def _refuse(status: int, reason: str, caller: CallerConnection) -> None:
-    """Refuse a call that can't be read."""
-    caller.answer(status, [], reason.encode())
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -3,18 +3,12 @@
 import asyncio
 import collections
 import dataclasses
-import functools
 import time
 from typing import Any
 
-from fuchsiafork.transport.caller import (
-    CallerConnection,
-    CallerLimits,
-    CallerRequest,
-    CallerServer,
-)
+from fuchsiafork.transport.caller import CallerConnection, CallerRequest
+from standins.loopback import LoopbackServer
 
-_LIMITS = CallerLimits(65_536, 8_388_608, 5.0, 60.0)
 EVENT_TOKENS = 5
 # Runs that may still be open when another one begins.
 _RECENT = 500
@@ -94,11 +88,9 @@
         self.runs: list[Run] = []
         self.arrivals = 0
         self.most_at_once = 0
-        self.address = ''
         self._service = service
         self._domain = domain
-        self._server: asyncio.Server | None = None
-        self._callers = CallerServer(self._serve, _refuse, lambda: _LIMITS)
+        self.server = LoopbackServer(self._serve, RawConnection)
 
     @property
     def entry(self) -> dict[str, Any]:
@@ -117,25 +109,20 @@
     @property
     def connections(self) -> int:
         """Number of open connections."""
-        return len(self._callers.connections)
+        return len(self.server.shared.connections)
+
+    @property
+    def address(self) -> str:
+        """IP:PORT, once started."""
+        return self.server.address
 
     async def start(self) -> None:
         """Listen on a free port."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            functools.partial(RawConnection, self._callers),
-            '127.0.0.1',
-            0,
-        )
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f'{host}:{port}'
+        await self.server.start()
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Close the socket and the connections."""
-        for connection in tuple(self._callers.connections):
-            connection.abort()
-        if self._server is not None:
-            self._server.close()
+        self.server.stop()
 
     async def _serve(
         self,
@@ -249,8 +236,3 @@
         f'content-length: {len(body)}\r\n\r\n'
     )
     return head.encode() + body
-
-
-def _refuse(status: int, reason: str, caller: CallerConnection) -> None:
-    """Refuse a request that can't be read."""
-    caller.answer(status, [], reason.encode())
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -262,13 +262,12 @@
         """Guards against no targets at all after an outage of the store."""
         table = self.gateway._services.targets
         self.store.trouble = Trouble.RESET
-        for connection in tuple(self.store._callers.connections):
-            connection.abort()
-        await self.eventually(lambda: not self.gateway._registered.synced)
+        self.store.server.break_connections()
+        await self.eventually(lambda: not self.gateway._parts.registered.synced)
         for target in self.plain:
             self.store.content.remove(f'servers/{target.target_id}')
         self.store.trouble = Trouble.NONE
-        await self.eventually(lambda: self.gateway._registered.synced)
+        await self.eventually(lambda: self.gateway._parts.registered.synced)
         self.assertEqual(len(table.of_service('plain')), 2)
         self.site.register(self.plain[0])
         gone = self.plain[1].target_id
--- a/tests/test_gateway_pages.py
+++ b/tests/test_gateway_pages.py
@@ -71,12 +71,11 @@
     async def test_lost_and_regained_store(self) -> None:
         """Guards against an outage that the log doesn't show."""
         self.store.trouble = Trouble.RESET
-        for connection in tuple(self.store._callers.connections):
-            connection.abort()
-        await self.eventually(lambda: not self.gateway._configured.synced)
+        self.store.server.break_connections()
+        await self.eventually(lambda: not self.gateway._parts.configured.synced)
         self.assertTrue(self._line('warning', 'store_lost')['reason'])
         self.store.trouble = Trouble.NONE
-        await self.eventually(lambda: self.gateway._configured.synced)
+        await self.eventually(lambda: self.gateway._parts.configured.synced)
         self._line('warning', 'store_reached')
 
     async def test_start_and_reload(self) -> None:
@@ -85,6 +84,18 @@
         self.gateway._reload()
         self._line('info', 'settings_reloaded')
 
+    async def test_settings_that_change_without_a_signal(self) -> None:
+        """Guards against settings that are in force only after a restart."""
+        path = self.gateway._path
+        text = path.read_text(encoding='utf-8')
+        changed = text.replace(self.store.address, '127.0.0.1:1')
+        path.write_text(changed, encoding='utf-8')
+        store = self.gateway._parts.store
+        await self.eventually(lambda: store.address == '127.0.0.1:1')
+        path.write_text('nonsense', encoding='utf-8')
+        await self.eventually(lambda: self.log.error.called)
+        self.assertEqual(store.address, '127.0.0.1:1')
+
 
 class TestPages(GatewayCase):
     """Metrics and status."""
