Grant tokens when budgets come, and while the store is away

The first write of the ledger came before the configuration, so nobody held a grant, and a ledger that was old because nothing had been used counted as a lost store. (2) Idle time between two writes diluted the demand after it, so the windows were too small for the next outage of the store. (3) A VM refused beside a full grant until 9.5 s after its last write. Ruled out: too small grants in the first outage (190,000 held, 1,400 at hand). Change: a change of budgets is written at once; the store counts as lost while a write takes more than 0.5 s; demand is averaged on each pass; a grant opens evenly from 2.5 to 6 s after the write.

--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -39,8 +39,8 @@
 WAIT_S = 1.0
 WAIT_SHARE = 0.3
 RETRY_AFTER_S = 1.0
-# A write that is overdue by so much waits for a store that doesn't answer.
-OVERDUE_S = 2.2
+# A write that takes longer than this waits for a store that doesn't answer.
+STALLED_S = 0.5
 # A record read this long ago still tells whether tokens are free.
 FRESH_S = 0.8
 # Other VMs that are asked for the tokens of one request.
@@ -66,16 +66,20 @@
         self._clock = clock
         self._chance = chance
         self._log = log
+        self._ungranted = False
         self._due = asyncio.Event()
         self._round = asyncio.Condition()
         self._reached = False
+        self._began_at: float | None = None
         self._synced_at = -FRESH_S
         self._ticked = clock.now()
 
     def set_prepaid(self, prepaid: dict[str, int]) -> None:
         """Take over the budgets of a new configuration."""
-        self._purse.set_prepaid(prepaid)
-        if self._purse.lacking:
+        if self._purse.set_prepaid(prepaid):
+            # An account whose tokens nobody holds would refuse its first
+            # request.
+            self._ungranted = True
             self._due.set()
 
     @property
@@ -123,6 +127,9 @@
     async def run(self) -> None:
         """Write the ledger whenever it is due."""
         while True:
+            # Also while nothing is written: idle time between two writes
+            # would dilute the demand that comes after it.
+            self._average()
             if self._wanted:
                 await self._sync()
                 await asyncio.sleep(SHORTAGE_SYNC_S * self._scale)
@@ -146,7 +153,7 @@
     def _wanted(self) -> bool:
         """Whether a write would change anything."""
         changed = self._purse.unsettled or self._purse.lacking
-        return changed or not self._reached
+        return changed or self._ungranted or not self._reached
 
     async def _ask_peers(self, account: str, tokens: int) -> bool:
         """Return whether other VMs have given enough tokens."""
@@ -162,11 +169,18 @@
 
     def _hopeless(self, account: str, tokens: int) -> bool:
         """Return whether a write now would not bring the tokens."""
-        if not self._reached or self.age_s > OVERDUE_S * self._scale:
+        if not self._reached or self._stalled:
             return True
         fresh = self.age_s < FRESH_S * self._scale
         return fresh and self._purse.within_reach(account) < tokens
 
+    @property
+    def _stalled(self) -> bool:
+        """Whether a write is under way that takes long."""
+        if self._began_at is None:
+            return False
+        return self._clock.now() - self._began_at > STALLED_S * self._scale
+
     async def _wait_round(self, seconds: float) -> None:
         """Wait for the end of the next write, or some seconds."""
         self._due.set()
@@ -175,12 +189,18 @@
                 async with self._round:
                     await self._round.wait()
 
-    async def _sync(self) -> None:
-        """Settle and renew the grants by one write."""
-        self._due.clear()
+    def _average(self) -> None:
+        """Average the demand up to now."""
         now = self._clock.now()
         self._purse.tick(now - self._ticked)
         self._ticked = now
+
+    async def _sync(self) -> None:
+        """Settle and renew the grants by one write."""
+        self._due.clear()
+        self._average()
+        self._began_at = self._clock.now()
+        self._ungranted = False
         try:
             await self._write()
         except FuchsiaforkError as error:
@@ -188,6 +208,7 @@
         else:
             self._note_reached(reached=True, reason='')
             self._synced_at = self._clock.now()
+        self._began_at = None
         async with self._round:
             self._round.notify_all()
 
@@ -240,8 +261,9 @@
         """Return what to tell a caller whose tokens are elsewhere."""
         place = 'other VMs' if self._reached else 'the store'
         have = self._purse.available(account)
+        outlook = self._purse.outlook(account)
         return BudgetUnreachableError(
             f'{tokens} tokens needed, {have} at hand, more with {place}; '
-            f'ledger {self.age_s:.1f} s old',
+            f'ledger {self.age_s:.1f} s old: {outlook}',
             retry_after=RETRY_AFTER_S,
         )
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -19,9 +19,11 @@
 # A holder that hasn't written for this long counts as gone when grants are
 # sized; it keeps its grant all the same.
 LIVE_S = 20.0
-# A process that started on a VM within this time of the last write of the
-# process before it knows how much that one has spent at most.
-RECLAIM_S = 9.0
+# For so long after its write a holder spends only what its share's window and
+# rate allow. Then the rest of the grant opens evenly, since the store is away
+# and its tokens are needed more than they are worth to a successor.
+CLOSED_S = 2.5
+OPEN_S = 6.0
 # Two clocks that agree within this are both taken as right.
 _CLOCK_SLACK_S = 0.5
 # Seconds by which the calendar time alone may be wrong.
@@ -47,9 +49,11 @@
     demand: int = 0
 
     def limit(self, elapsed_s: float) -> int:
-        """Return the tokens that may be spent soon after the write."""
+        """Return the tokens that may be spent by some time after the write."""
         grown = self.window + math.ceil(self.rate * elapsed_s)
-        return min(self.grant, grown)
+        opened = (elapsed_s - CLOSED_S) / (OPEN_S - CLOSED_S)
+        rest = max(0, self.grant - grown)
+        return min(self.grant, grown + math.ceil(rest * max(0.0, opened)))
 
 
 @dataclasses.dataclass(slots=True)
@@ -239,7 +243,7 @@
     begins anew after a loss of power. If they agree, both are right; if one
     of them can explain the difference, its error is added.
 
-    :return: None if it can't be told, or is too long.
+    :return: None if it can't be told.
     """
     by_wall = started.wall - written.wall
     by_boot = started.boot - written.boot
@@ -252,7 +256,7 @@
         elapsed = by_wall + _CLOCK_JUMP_S
     else:
         return None
-    return elapsed if 0 <= elapsed <= RECLAIM_S else None
+    return elapsed if elapsed >= 0 else None
 
 
 def _vm(holder: str) -> str:
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -18,9 +18,6 @@
 # Another VM that asks for tokens gets this part of the rest besides, so that
 # it need not ask for each request.
 SPARE_DIVISOR = 4
-# For so long after it sent a write, a process spends only what its shares'
-# windows and rates allow, so that a successor knows how much that is.
-WINDOW_ONLY_S = 9.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +57,32 @@
     frozen: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """
+    Where an account's tokens are, by the last record that is known.
+
+    :ivar held: by this process, without what is used or reserved.
+    :ivar held_by_others: granted to other live processes.
+    :ivar withheld: granted to processes that are gone or silent.
+    """
+
+    prepaid: int
+    spent: int
+    free: int
+    held: int
+    held_by_others: int
+    withheld: int
+
+    def __str__(self) -> str:
+        """Return the tokens for a log line."""
+        return (
+            f'{self.spent} of {self.prepaid} spent, {self.free} free, '
+            f'{self.held} held, {self.held_by_others} by others, '
+            f'{self.withheld} withheld'
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settled:
     """
@@ -135,14 +158,16 @@
         """Whether a reservation was refused since the last write."""
         return any(pocket.lacked for pocket in self._pockets.values())
 
-    def set_prepaid(self, prepaid: dict[str, int]) -> None:
-        """Take over the prepaid tokens by account."""
+    def set_prepaid(self, prepaid: dict[str, int]) -> bool:
+        """Take over the prepaid tokens by account; tell if any differ."""
+        changed = prepaid != self._prepaid
         for account, tokens in prepaid.items():
             if tokens < self._prepaid.get(account, 0):
                 pocket = self._pockets.setdefault(account, _Pocket())
                 pocket.frozen = True
                 pocket.lacked = max(1, pocket.lacked)
         self._prepaid = prepaid
+        return changed
 
     def available(self, account: str) -> int:
         """
@@ -163,10 +188,7 @@
 
     def _limit(self, share: Share) -> int:
         """Return the tokens of a share that may be spent by now."""
-        elapsed = self._clock.now() - self._sent_at
-        if elapsed > WINDOW_ONLY_S:
-            return share.grant
-        return share.limit(elapsed)
+        return share.limit(self._clock.now() - self._sent_at)
 
     def reserve(self, account: str, tokens: int) -> Reservation | None:
         """Return a reservation, None if the tokens at hand don't cover it."""
@@ -235,6 +257,26 @@
             return free
         return free + pocket.share.grant - pocket.used - pocket.reserved
 
+    def outlook(self, account: str) -> Outlook:
+        """Return where the tokens of an account are."""
+        pocket = self._pockets.get(account) or _Pocket()
+        prepaid = self._prepaid.get(account, 0)
+        if self._known is None:
+            return Outlook(prepaid, 0, 0, 0, 0, 0)
+        entry = self._known.entry(account)
+        live = set(self._known.live(self._clock.wall()))
+        grants = {name: share.grant for name, share in entry.shares.items()}
+        others = live - {self._holder}
+        return Outlook(
+            prepaid=prepaid,
+            spent=entry.spent,
+            free=max(0, entry.free(prepaid)),
+            held=pocket.share.grant - pocket.used - pocket.reserved,
+            held_by_others=sum(grants.get(name, 0) for name in others),
+            withheld=sum(grants.values())
+            - sum(grants.get(name, 0) for name in live),
+        )
+
     def exhausted(self, account: str, tokens: int) -> bool:
         """
         Return whether the budget can't cover a cost, whoever holds it.
