Tell by the fleet's time when a VM lost power

Change: processes compare their calendar time with some others at the start, until three or more agree within 0.3 s, and go on by the clock since boot. A successor waits up to 1.5 s for it before it frees what its predecessor can't have spent. The stored holder rows have one more field. Tests: reboot with and without it; the random fleet now loses power, and one clock jumps at a time; its control runs 60 seeds instead of 20, since fewer of them overspend. Those of a reboot write twice, since the first write waits.

--- /dev/null
+++ b/fuchsiafork/gateway/clocks.py
@@ -0,0 +1,51 @@
+"""Compares the time of day with other VMs until they agree."""
+
+import asyncio
+import random
+
+from fuchsiafork.gateway.money import Money
+from fuchsiafork.gateway.peers import Peers
+from fuchsiafork.prepaid import FleetTime, Purse
+
+# Other VMs that are asked.
+MOST_ASKED = 4
+# Seconds between two tries, at first and at most: VMs that start together
+# don't answer yet, and a clock that has jumped stays wrong for seconds.
+FIRST_S = 0.1
+LONGEST_S = 5.0
+
+
+class ClockCheck:
+    """Asks other VMs for the time."""
+
+    def __init__(
+        self,
+        time: FleetTime,
+        purse: Purse,
+        peers: Peers,
+        money: Money,
+        chance: random.Random,
+    ) -> None:
+        """Ask the VMs that the purse knows."""
+        self._time = time
+        self._purse = purse
+        self._peers = peers
+        self._money = money
+        self._chance = chance
+
+    async def run(self) -> None:
+        """Ask until the clocks agree, then have the ledger written."""
+        pause = FIRST_S
+        while not await self._agreed():
+            await asyncio.sleep(pause * self._chance.uniform(0.8, 1.2))
+            pause = min(LONGEST_S, pause * 2)
+        self._money.renew()
+        await asyncio.Event().wait()
+
+    async def _agreed(self) -> bool:
+        """Return whether the clocks of some VMs agree with this one."""
+        others = self._purse.others
+        some = self._chance.sample(others, min(MOST_ASKED, len(others)))
+        found = await asyncio.gather(*map(self._peers.ask_clock, some))
+        known = [apart for apart in found if apart is not None]
+        return self._time.compare(known)
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import Any
 
+from fuchsiafork.gateway.clocks import ClockCheck
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.money import Money
 from fuchsiafork.gateway.peers import Peers
@@ -20,7 +21,7 @@
 from fuchsiafork.platform import names
 from fuchsiafork.platform.settings import VmSettings
 from fuchsiafork.platform.store import PlatformStore
-from fuchsiafork.prepaid import Purse
+from fuchsiafork.prepaid import FleetTime, Purse
 from fuchsiafork.transport.pool import ConnectionPool
 
 
@@ -32,6 +33,7 @@
     :ivar configured: follows the operator's items.
     :ivar registered: follows the targets' entries.
     :ivar targets: takes these entries over.
+    :ivar clocks: finds the fleet's time.
     """
 
     services: Services
@@ -39,48 +41,89 @@
     configured: Watcher
     registered: Watcher
     targets: TargetFeed
+    clocks: ClockCheck
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Basis:
+    """What most parts of a process need."""
+
+    settings: VmSettings
+    clock: Clock
+    chance: random.Random
+    pool: ConnectionPool
+    metrics: GatewayMetrics
+    log: Any
 
 
 def compose(settings: VmSettings, log: Any) -> Composition:
     """Return the parts of a process with some settings."""
     clock = SystemClock()
-    chance = random.Random(secrets.randbits(64))
-    pool = ConnectionPool(clock)
-    metrics = GatewayMetrics()
-    store = PlatformStore(
-        settings.store.address,
-        pool,
-        lambda outcome: metrics.store_calls.labels(outcome).inc(),
+    basis = _Basis(
+        settings,
+        clock,
+        random.Random(secrets.randbits(64)),
+        ConnectionPool(clock),
+        GatewayMetrics(),
+        log,
+    )
+    store = _make_store(basis)
+    registered = _watch(names.TARGETS_PREFIX, store, basis)
+    services, clocks = _make_services(basis, store)
+    return Composition(
+        services=services,
+        store=store,
+        configured=_watch(names.OPERATOR_PREFIX, store, basis),
+        registered=registered,
+        targets=TargetFeed(services.targets, registered, clock, log),
+        clocks=clocks,
     )
-    table = TargetTable()
-    registered = Watcher(names.TARGETS_PREFIX, store, clock, chance, log)
-    holder = f'{settings.vm}#{secrets.token_hex(4)}'
-    purse = Purse(holder, settings.peer_address, clock)
-    peers = Peers(purse, pool, clock, log)
+
+
+def _make_services(
+    basis: _Basis,
+    store: PlatformStore,
+) -> tuple[Services, ClockCheck]:
+    """Return what requests share, and what finds the fleet's time."""
+    clock, chance, log = basis.clock, basis.chance, basis.log
+    holder = f'{basis.settings.vm}#{secrets.token_hex(4)}'
+    time = FleetTime(clock)
+    purse = Purse(holder, basis.settings.peer_address, clock, time)
+    peers = Peers(purse, basis.pool, clock, log)
+    money = Money(purse, peers, store, clock, chance, log)
     reach = Reach()
     services = Services(
         clock=clock,
         chance=chance,
         log=log,
-        metrics=metrics,
-        targets=table,
-        pool=pool,
+        metrics=basis.metrics,
+        targets=TargetTable(),
+        pool=basis.pool,
         reach=reach,
-        placement=Placement(settings.domain, reach, chance),
-        repeats=make_repeats(settings),
+        placement=Placement(basis.settings.domain, reach, chance),
+        repeats=make_repeats(basis.settings),
         peers=peers,
-        money=Money(purse, peers, store, clock, chance, log),
+        money=money,
         rollouts=Rollouts(holder, store, clock, log),
     )
-    return Composition(
-        services=services,
-        store=store,
-        configured=_watch_operator(store, clock, chance, log),
-        registered=registered,
-        targets=TargetFeed(table, registered, clock, log),
+    return services, ClockCheck(time, purse, peers, money, chance)
+
+
+def _make_store(basis: _Basis) -> PlatformStore:
+    """Return the client of the store, which counts its calls."""
+    calls = basis.metrics.store_calls
+    return PlatformStore(
+        basis.settings.store.address,
+        basis.pool,
+        lambda outcome: calls.labels(outcome).inc(),
     )
 
 
+def _watch(prefix: str, store: PlatformStore, basis: _Basis) -> Watcher:
+    """Return what follows the items under a prefix."""
+    return Watcher(prefix, store, basis.clock, basis.chance, basis.log)
+
+
 def make_repeats(settings: VmSettings) -> RepeatBudget:
     """Return the budget of repeats that the settings allow."""
     bounds = settings.bounds
@@ -89,13 +132,3 @@
         bounds.retry_extra,
         bounds.retry_window_s,
     )
-
-
-def _watch_operator(
-    store: PlatformStore,
-    clock: Clock,
-    chance: random.Random,
-    log: Any,
-) -> Watcher:
-    """Return what follows the operator's items."""
-    return Watcher(names.OPERATOR_PREFIX, store, clock, chance, log)
--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -66,7 +66,7 @@
         self._clock = clock
         self._chance = chance
         self._log = log
-        self._ungranted = False
+        self._outdated = False
         self._due = asyncio.Event()
         self._round = asyncio.Condition()
         self._reached = False
@@ -79,8 +79,12 @@
         if self._purse.set_prepaid(prepaid):
             # An account whose tokens nobody holds would refuse its first
             # request.
-            self._ungranted = True
-            self._due.set()
+            self.renew()
+
+    def renew(self) -> None:
+        """Write the ledger soon, although no tokens were used."""
+        self._outdated = True
+        self._due.set()
 
     @property
     def age_s(self) -> float:
@@ -153,7 +157,7 @@
     def _wanted(self) -> bool:
         """Whether a write would change anything."""
         changed = self._purse.unsettled or self._purse.lacking
-        return changed or self._ungranted or not self._reached
+        return changed or self._outdated or not self._reached
 
     async def _ask_peers(self, account: str, tokens: int) -> bool:
         """Return whether other VMs have given enough tokens."""
@@ -200,7 +204,7 @@
         self._due.clear()
         self._average()
         self._began_at = self._clock.now()
-        self._ungranted = False
+        self._outdated = False
         try:
             await self._write()
         except FuchsiaforkError as error:
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -11,10 +11,13 @@
 from fuchsiafork.transport.target import BrokenAnswerError, ConnectError
 
 TOKENS_PATH = '/tokens'
+CLOCK_PATH = '/clock'
 # A VM that doesn't answer in this time is not worth a longer wait.
 ASK_TIMEOUT_S = 0.15
 # Seconds for which a VM that didn't answer is not asked again.
 AVOID_S = 2.0
+# Longer answers would not tell the time exactly.
+CLOCK_TIMEOUT_S = 0.1
 
 _OK = 200
 
@@ -56,12 +59,36 @@
         given = answer.body if answer.status == _OK else 0
         return given if isinstance(given, int) else 0
 
+    async def ask_clock(self, address: str) -> float | None:
+        """
+        Return how far another VM's time of day is ahead, seconds.
+
+        :return: None if it doesn't answer.
+        """
+        began = self._clock.wall()
+        try:
+            answer = await call_json(
+                self._pool,
+                address,
+                JsonCall('GET', CLOCK_PATH),
+                CLOCK_TIMEOUT_S,
+            )
+        except (BrokenAnswerError, ConnectError):
+            return None
+        between = (began + self._clock.wall()) / 2
+        known = answer.status == _OK and isinstance(answer.body, float)
+        return answer.body - between if known else None
+
     async def serve(
         self,
         request: CallerRequest,
         caller: CallerConnection,
     ) -> None:
         """Answer another VM."""
+        if request.target == CLOCK_PATH:
+            wall = json.dumps(float(self._clock.wall()))
+            caller.answer(_OK, [], wall.encode())
+            return
         try:
             account, tokens = json.loads(request.body)
         except (ValueError, TypeError) as error:
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -162,6 +162,7 @@
                 self._parts.targets.take_some,
             ),
             self._services.money.run(),
+            self._parts.clocks.run(),
             self._tick(),
         )
         self._tasks = [asyncio.create_task(watch) for watch in watches]
--- a/fuchsiafork/prepaid/__init__.py
+++ b/fuchsiafork/prepaid/__init__.py
@@ -1,5 +1,6 @@
 """Prepaid tokens: a ledger in the store and grants to each VM."""
 
+from fuchsiafork.prepaid.fleet_time import FleetTime
 from fuchsiafork.prepaid.ledger import (
     AccountEntry,
     Ledger,
@@ -11,6 +12,7 @@
 __all__ = (
     'AccountEntry',
     'Change',
+    'FleetTime',
     'Ledger',
     'Purse',
     'Reservation',
--- /dev/null
+++ b/fuchsiafork/prepaid/fleet_time.py
@@ -0,0 +1,52 @@
+"""The time of day on which the VMs of the fleet agree."""
+
+import statistics
+
+from fuchsiafork.kernel import Clock
+
+# Clocks that must agree, this VM's among them.
+LEAST_CLOCKS = 3
+# Seconds by which clocks that are right may be apart.
+AGREE_S = 0.3
+
+
+class FleetTime:
+    """
+    Tells the time by the clock that counts from the start of the VM.
+
+    Its distance from the time of day is taken once, when the clocks of some
+    VMs agree: a single clock may have jumped, and after a loss of power the
+    clock that never jumps begins anew.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without knowing the time."""
+        self._clock = clock
+        self._ahead: float | None = None
+
+    @property
+    def known(self) -> bool:
+        """Whether the clocks have agreed."""
+        return self._ahead is not None
+
+    def compare(self, differences: list[float]) -> bool:
+        """
+        Take the time if the clocks agree, and return whether they do.
+
+        :param differences: time of day of other VMs less this VM's, seconds.
+        """
+        apart = [0.0, *differences]
+        agree = max(apart) - min(apart) <= AGREE_S
+        if len(apart) < LEAST_CLOCKS or not agree:
+            return False
+        wall = self._clock.wall() + statistics.median(apart)
+        self._ahead = wall - self._clock.now()
+        return True
+
+    def at(self, boot: float) -> float | None:
+        """
+        Return the Unix time at a moment since the start of the VM, seconds.
+
+        :return: None while it isn't known.
+        """
+        return None if self._ahead is None else boot + self._ahead
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from fuchsiafork.kernel.errors import StoreFormatError
+from fuchsiafork.prepaid.fleet_time import AGREE_S
 
 _MALFORMED = (ValueError, TypeError, LookupError, AttributeError)
 
@@ -24,6 +25,8 @@
 # and its tokens are needed more than they are worth to a successor.
 CLOSED_S = 2.5
 OPEN_S = 6.0
+# Seconds by which the fleet's time may be wrong at two moments together.
+_FLEET_SLACK_S = 2 * AGREE_S
 # Two clocks that agree within this are both taken as right.
 _CLOCK_SLACK_S = 0.5
 # Seconds by which the calendar time alone may be wrong.
@@ -81,14 +84,16 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class Moment:
     """
-    A time by two clocks of one VM, seconds.
+    A time by the clocks of one VM, seconds.
 
     :ivar wall: Unix time, which may jump.
     :ivar boot: time since the VM's start, suspension included.
+    :ivar fleet: Unix time by most clocks of the fleet, None if not known.
     """
 
     wall: float
     boot: float
+    fleet: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,20 +131,33 @@
         """Return the entry of an account, a new one if there is none."""
         return self.accounts.setdefault(account, AccountEntry())
 
-    def retire(self, successor: str, started: Moment) -> None:
+    def retire(
+        self,
+        successor: str,
+        started: Moment,
+        *,
+        may_wait: bool = False,
+    ) -> None:
         """
         Drop the earlier processes of a holder's VM.
 
         What they can't have spent since their last write is free again if
         the successor started soon enough. The rest stays withheld.
+
+        :param may_wait: whether those stay for now whose end the clocks
+            can't tell exactly.
         """
         vm = _vm(successor)
         for name in tuple(self.holders):
-            if name != successor and _vm(name) == vm:
-                gone = self.holders.pop(name)
-                elapsed = _elapsed_s(gone.written, started)
-                if elapsed is not None:
-                    self._reclaim(name, elapsed)
+            if name == successor or _vm(name) != vm:
+                continue
+            written = self.holders[name].written
+            if may_wait and not _clocks_agree(written, started):
+                continue
+            self.holders.pop(name)
+            elapsed = _elapsed_s(written, started)
+            if elapsed is not None:
+                self._reclaim(name, elapsed)
 
     def _reclaim(self, holder: str, elapsed_s: float) -> None:
         """Leave a holder that ended what it may have spent."""
@@ -168,6 +186,7 @@
             round(holder.written.wall, 2),
             round(holder.written.boot, 2),
             holder.address,
+            round(holder.written.fleet or 0, 2),
         ]
         for name, holder in ledger.holders.items()
     }
@@ -191,20 +210,20 @@
 
 def _read(stored: Any) -> Ledger:
     """Return the ledger in a decoded value."""
-    names = stored['names']
+    names, holders = stored['names'], stored['holders']
     accounts = {
         name: AccountEntry(int(spent), _read_shares(shares, names))
         for name, (spent, shares) in stored['accounts'].items()
     }
-    holders = {
+    rows = {
         name: Holder(
             int(write),
-            Moment(float(wall), float(boot)),
+            Moment(float(wall), float(boot), float(fleet) or None),
             str(address),
         )
-        for name, (write, wall, boot, address) in stored['holders'].items()
+        for name, (write, wall, boot, address, fleet) in holders.items()
     }
-    return Ledger(accounts, holders)
+    return Ledger(accounts, rows)
 
 
 def _share_holders(ledger: Ledger) -> list[str]:
@@ -248,8 +267,10 @@
     by_wall = started.wall - written.wall
     by_boot = started.boot - written.boot
     apart = by_boot - by_wall
-    if abs(apart) <= _CLOCK_SLACK_S:
+    if _clocks_agree(written, started):
         elapsed = max(by_wall, by_boot)
+    elif written.fleet is not None and started.fleet is not None:
+        elapsed = started.fleet - written.fleet + _FLEET_SLACK_S
     elif abs(apart) <= _CLOCK_SLACK_S + _CLOCK_JUMP_S:
         elapsed = max(by_wall, by_boot) + _CLOCK_JUMP_S
     elif by_wall >= 0 and (by_boot < 0 or apart > _NO_JUMP_S):
@@ -259,6 +280,13 @@
     return elapsed if elapsed >= 0 else None
 
 
+def _clocks_agree(written: Moment, started: Moment) -> bool:
+    """Return whether two clocks tell the same time between two moments."""
+    by_wall = started.wall - written.wall
+    by_boot = started.boot - written.boot
+    return abs(by_boot - by_wall) <= _CLOCK_SLACK_S
+
+
 def _vm(holder: str) -> str:
     """Return the VM that a holder runs on."""
     return holder.partition('#')[0]
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -4,6 +4,7 @@
 import math
 
 from fuchsiafork.kernel import Clock
+from fuchsiafork.prepaid.fleet_time import FleetTime
 from fuchsiafork.prepaid.ledger import (
     AccountEntry,
     Holder,
@@ -13,6 +14,9 @@
 )
 from fuchsiafork.prepaid.sizing import Need, Sizing
 
+# Seconds in which a new process waits for the fleet's time, before it says
+# without it what its predecessor can't have spent.
+TIME_WAIT_S = 1.5
 # Time constant of the demand's average, seconds.
 DEMAND_S = 8.0
 # Another VM that asks for tokens gets this part of the rest besides, so that
@@ -113,16 +117,23 @@
 class Purse:
     """Reserves, settles and plans the writes that renew the grants."""
 
-    def __init__(self, holder: str, address: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        holder: str,
+        address: str,
+        clock: Clock,
+        time: FleetTime,
+    ) -> None:
         """
         Start without tokens, as a holder that never wrote.
 
         :param address: IP:PORT at which other VMs ask for tokens.
         """
+        self._time = time
         self._holder = holder
         self._address = address
         self._clock = clock
-        self._started = self._moment()
+        self._started = (clock.wall(), clock.now())
         self._pockets: dict[str, _Pocket] = {}
         self._unknown: list[Change] = []
         self._number = 0
@@ -144,6 +155,17 @@
             return 1
         return max(1, len(self._known.live(self._clock.wall())))
 
+    @property
+    def others(self) -> list[str]:
+        """Addresses of the other VMs in the last record."""
+        if self._known is None:
+            return []
+        return [
+            holder.address
+            for holder in self._known.holders.values()
+            if holder.address != self._address
+        ]
+
     @property
     def unsettled(self) -> bool:
         """Whether tokens were used that the ledger doesn't show."""
@@ -334,7 +356,7 @@
         self._number += 1
         self._sent_at = self._clock.now()
         written = self._moment()
-        ledger.retire(self._holder, self._started)
+        self._retire(ledger)
         ledger.holders[self._holder] = Holder(
             self._number,
             written,
@@ -367,7 +389,19 @@
 
     def _moment(self) -> Moment:
         """Return the time by both clocks."""
-        return Moment(self._clock.wall(), self._clock.now())
+        boot = self._clock.now()
+        return Moment(self._clock.wall(), boot, self._time.at(boot))
+
+    def _retire(self, ledger: Ledger) -> None:
+        """Free what the earlier processes of this VM can't have spent."""
+        wall, boot = self._started
+        started = Moment(wall, boot, self._time.at(boot))
+        young = self._clock.now() - boot < TIME_WAIT_S
+        ledger.retire(
+            self._holder,
+            started,
+            may_wait=young and not self._time.known,
+        )
 
     def _adopt(self, change: Change) -> None:
         """Count with the grants after a change."""
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -3,15 +3,18 @@
 import random
 import unittest
 
+from fuchsiafork.kernel import Clock
 from fuchsiafork.kernel.errors import StoreFormatError
 from fuchsiafork.prepaid import (
     AccountEntry,
+    FleetTime,
     Ledger,
     Purse,
     decode_ledger,
     encode_ledger,
 )
 from fuchsiafork.prepaid.ledger import CLOSED_S, OPEN_S, Holder, Moment, Share
+from fuchsiafork.prepaid.purse import TIME_WAIT_S
 from standins.virtual import VirtualClock
 
 PREPAID = 100_000
@@ -49,7 +52,7 @@
 
 def _make_purse(holder: str, clock: VirtualClock) -> Purse:
     """Return a purse that knows one budget."""
-    purse = Purse(holder, f'{holder}:1', clock)
+    purse = Purse(holder, f'{holder}:1', clock, FleetTime(clock))
     purse.set_prepaid({'acme': PREPAID})
     return purse
 
@@ -61,7 +64,10 @@
         """Guards against a record that another VM reads differently."""
         ledger = Ledger(
             {'acme': AccountEntry(7, {'a#1': Share(10, 5, 2, 1)})},
-            {'a#1': Holder(3, Moment(12.5, 4.25), '10.0.0.1:7000')},
+            {
+                'a#1': Holder(3, Moment(12.5, 4.25), '10.0.0.1:7000'),
+                'b#1': Holder(1, Moment(9.5, 4.0, 9.25), '10.0.0.2:7000'),
+            },
         )
         self.assertEqual(decode_ledger(encode_ledger(ledger)), ledger)
 
@@ -214,10 +220,13 @@
         self.victim = victim
 
     def _successor_free(self) -> int:
-        """Return what is free after a successor's first write."""
+        """Return what is free after a successor's first writes."""
         successor = _make_purse('a#2', self.clock)
         successor.leave()
         _sync(successor, self.record)
+        # Without the fleet's time it waits for it at first.
+        self.clock.advance(TIME_WAIT_S + 0.1)
+        _sync(successor, self.record)
         return self.record.read()[0].entry('acme').free(PREPAID)
 
     def test_soon_successor_frees_what_was_not_spendable(self) -> None:
@@ -272,12 +281,112 @@
         self.assertEqual(entry.share('a#1').grant, self.granted)
 
 
+class TestFleetTime(unittest.TestCase):
+    """The time on which the clocks of the fleet agree."""
+
+    def setUp(self) -> None:
+        """Start without knowing the time."""
+        self.clock = VirtualClock()
+        self.time = FleetTime(self.clock)
+
+    def test_median_of_clocks_that_agree(self) -> None:
+        """Guards against a time that one slow clock moves."""
+        self.assertIsNone(self.time.at(0.0))
+        self.assertTrue(self.time.compare([0.1, 0.2]))
+        at = self.time.at(self.clock.now())
+        assert at is not None
+        self.assertAlmostEqual(at, self.clock.wall() + 0.1)
+
+    def test_clock_that_has_jumped_is_not_believed(self) -> None:
+        """Guards against an end that seems sooner than it was."""
+        self.assertFalse(self.time.compare([0.0, 0.1, 2.0]))
+        self.assertFalse(self.time.compare([-2.0, -2.0]))
+        self.assertIsNone(self.time.at(0.0))
+
+    def test_one_other_clock_is_too_few(self) -> None:
+        """Guards against two clocks that have jumped alike."""
+        self.assertFalse(self.time.compare([0.0]))
+
+    def test_later_jumps_change_nothing(self) -> None:
+        """Guards against a step of the calendar time after the comparison."""
+        self.time.compare([0.0, 0.0])
+        before = self.clock.wall()
+        self.clock._boot += 2.0
+        self.clock.advance(1.0)
+        self.assertEqual(self.time.at(self.clock.now()), before + 1.0)
+
+
+class TestPowerLoss(unittest.TestCase):
+    """A VM that boots anew, with and without the fleet's time."""
+
+    def free_after_reboot(self, *, known: bool) -> int:
+        """
+        Return what a successor frees of a VM that lost power.
+
+        :param known: whether both processes know the fleet's time.
+        """
+        self.clock, self.record = VirtualClock(), _Record()
+        victim = self.start('a#1', known=known)
+        _sync(victim, self.record)
+        self.clock.advance(2.0)
+        self.spendable = victim.available('acme')
+        self.clock._now -= 40_000.0
+        self.clock._boot += 40_000.0
+        successor = self.start('a#2', known=known)
+        successor.leave()
+        _sync(successor, self.record)
+        self.first = self.record.read()[0].entry('acme').free(PREPAID)
+        self.clock.advance(TIME_WAIT_S + 0.1)
+        _sync(successor, self.record)
+        return self.record.read()[0].entry('acme').free(PREPAID)
+
+    def start(self, holder: str, *, known: bool) -> Purse:
+        """Return a process."""
+        time = FleetTime(self.clock)
+        if known:
+            time.compare([0.0, 0.0])
+        purse = Purse(holder, f'{holder}:1', self.clock, time)
+        purse.set_prepaid({'acme': PREPAID})
+        return purse
+
+    def test_known_time_frees_more_at_once(self) -> None:
+        """Guards against withholding for jumps that did not happen."""
+        unknown = self.free_after_reboot(known=False)
+        known = self.free_after_reboot(known=True)
+        self.assertEqual(known, self.first)
+        self.assertGreater(known, unknown + PREPAID // 20)
+        self.assertLessEqual(known, PREPAID - self.spendable)
+
+    def test_waits_for_the_time_a_while(self) -> None:
+        """Guards against giving up what the fleet's time would free."""
+        unknown = self.free_after_reboot(known=False)
+        self.assertLess(self.first, unknown)
+        self.assertLessEqual(unknown, PREPAID - self.spendable)
+
+
+class _VmClock(Clock):
+    """A VM's clocks: one begins anew with the VM, the other may jump."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self.clock = clock
+        self.booted = 0.0
+        self.jump = 0.0
+
+    def now(self) -> float:
+        return self.clock.now() - self.booted
+
+    def wall(self) -> float:
+        return self.clock.wall() + self.jump
+
+
 class _Fleet:
     """VMs that spend at random under random faults; counts real spend."""
 
     def __init__(self, seed: int, *, forget_windows: bool = False) -> None:
         self.chance = random.Random(seed)
         self.clock = VirtualClock()
+        self.clocks = {name: _VmClock(self.clock) for name in 'abcd'}
+        self.times: dict[str, FleetTime] = {}
         self.record = _Record()
         self.prepaid = PREPAID
         self.spent = 0
@@ -292,7 +401,12 @@
     def start(self, name: str) -> None:
         """Start a VM's process anew; the open requests of the old one end."""
         self.starts += 1
-        purse = Purse(f'{name}#{self.starts}', f'{name}:1', self.clock)
+        clock = self.clocks[name]
+        if self.chance.random() < 0.3:
+            clock.booted = self.clock.now()
+        time = FleetTime(clock)
+        self.times[name] = time
+        purse = Purse(f'{name}#{self.starts}', f'{name}:1', clock, time)
         purse.set_prepaid({'acme': self.prepaid})
         self.vms[name] = purse
         self.open[name] = []
@@ -349,11 +463,28 @@
             (self.give, 7),
             (self.apply_late, 5),
             (self.start, 3),
+            (self.jump, 1),
+            (self.compare, 10),
             (self.top_up, 1),
         )
         kinds, shares = zip(*acts, strict=True)
         self.chance.choices(kinds, shares)[0](name)
 
+    def jump(self, name: str) -> None:
+        """Let the time of day of one VM jump, or jump back."""
+        jumped = any(clock.jump for clock in self.clocks.values())
+        for clock in self.clocks.values():
+            clock.jump = 0.0
+        if not jumped:
+            self.clocks[name].jump = self.chance.uniform(-2.4, 2.4)
+
+    def compare(self, name: str) -> None:
+        """Compare a VM's clock with the others, until they agree."""
+        if not self.times[name].known:
+            own = self.clocks[name].wall()
+            walls = [clock.wall() for clock in self.clocks.values()]
+            self.times[name].compare([wall - own for wall in walls])
+
     def apply_late(self, name: str) -> None:
         """Let a delayed write arrive at the store."""
         if self.late:
@@ -389,7 +520,7 @@
     def test_control_without_windows_overspends(self) -> None:
         """Shows that the test above sees what windows prevent."""
         broken = 0
-        for seed in range(20):
+        for seed in range(60):
             fleet = _Fleet(seed, forget_windows=True)
             for _ in range(1500):
                 fleet.step()
