Write the ledger when the store is heard of again

Cause: after a cut from the store of 8 s a VM refused for up to 2 s more with an empty grant: the failed write was tried again only at the next period, while the watch had heard from the store long before. Change: an answer to the watch starts a write if the ledger was lost; a contended write is tried anew after 0.1 s and counts as contact.

--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -124,6 +124,11 @@
                 raise self._unreachable(account, tokens)
             await self._wait_round(left)
 
+    def note_contact(self) -> None:
+        """Write at once if the store, which has just answered, was lost."""
+        if not self._reached:
+            self._due.set()
+
     def settle(self, reservation: Reservation, tokens: int) -> None:
         """End a reservation with what the request has cost."""
         self._purse.settle(reservation, tokens)
@@ -206,29 +211,38 @@
         self._began_at = self._clock.now()
         self._outdated = False
         try:
-            await self._write()
+            written = await self._write()
         except FuchsiaforkError as error:
             self._note_reached(reached=False, reason=str(error))
         else:
             self._note_reached(reached=True, reason='')
-            self._synced_at = self._clock.now()
+            self._note_written(written=written)
         self._began_at = None
         async with self._round:
             self._round.notify_all()
 
-    async def _write(self) -> None:
+    def _note_written(self, *, written: bool) -> None:
+        """Note when the ledger was written, or that it must be tried anew."""
+        if written:
+            self._synced_at = self._clock.now()
+        else:
+            self._log.warning('ledger_contended', writes=MOST_CONFLICTS)
+            self.renew()
+
+    async def _write(self) -> bool:
         """
         Read the record and write it anew until no other write interferes.
 
+        :return: False if others wrote first each time.
         :raises StoreUnavailableError: if the store doesn't answer.
         """
         item = await self._store.read(LEDGER_KEY)
         for _ in range(MOST_CONFLICTS):
             current = await self._swap(item)
             if current is None:
-                return
+                return True
             item = current
-        raise StoreUnavailableError('too many writes at the same time')
+        return False
 
     async def _swap(self, item: Item) -> Item | None:
         """Return what is stored instead if the record has changed."""
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -153,6 +153,7 @@
         def take_operator(changes: Changes) -> None:
             configuration.take(changes)
             self._services.rollouts.take(changes)
+            self._services.money.note_contact()
 
         watches = (
             self._parts.configured.run(take_operator, take_operator),
--- a/tests/test_gateway_money.py
+++ b/tests/test_gateway_money.py
@@ -1,10 +1,20 @@
 """Tokens that a gateway gets in time."""
 
 import asyncio
+import random
+import unittest
+from typing import cast
 
-from fuchsiafork.gateway.money import LEDGER_KEY
-from fuchsiafork.prepaid import decode_ledger
+from fuchsiafork.gateway.money import LEDGER_KEY, MOST_CONFLICTS, Money
+from fuchsiafork.gateway.peers import Peers
+from fuchsiafork.kernel import SystemClock
+from fuchsiafork.kernel.errors import StoreUnavailableError
+from fuchsiafork.observability.logs import configure_logs, get_logger
+from fuchsiafork.platform.store import Item, PlatformStore, Swap
+from fuchsiafork.prepaid import FleetTime, Purse, decode_ledger
 from fuchsiafork.prepaid.ledger import Share
+from fuchsiafork.transport.pool import ConnectionPool
+from standins.platform_site import eventually
 from tests.gateway_case import PREPAID, GatewayCase, make_configuration
 
 # Longer than the usual time between two writes.
@@ -13,6 +23,9 @@
 LONG_IDLE_S = 6.0
 # Longest time between two writes while tokens are used, and some.
 WRITE_S = 2.0
+# Longer than the pause after a write, shorter than the time between two.
+SETTLE_S = 0.3
+SOON_S = 0.3
 
 
 class TestGrants(GatewayCase):
@@ -51,3 +64,71 @@
         )
         demand = sum(share.demand for share in self.shares('acme'))
         self.assertGreater(demand, used / WRITE_S)
+
+
+class _Store:
+    """A store of one record, that may be away or have changed each time."""
+
+    def __init__(self) -> None:
+        self.away = False
+        self.conflicts = 0
+        self.item = Item(LEDGER_KEY, 1, None)
+        self.writes = 0
+
+    async def read(self, key: str) -> Item:
+        if self.away:
+            raise StoreUnavailableError('away')
+        return self.item
+
+    async def swap(self, key: str, revision: int, value: bytes) -> Swap:
+        if self.conflicts:
+            self.conflicts -= 1
+            self.item = Item(key, self.item.revision + 1, self.item.value)
+            return Swap(0, (self.item,))
+        self.writes += 1
+        self.item = Item(key, revision + 1, value)
+        return Swap(self.item.revision)
+
+
+class TestTroubledStore(unittest.IsolatedAsyncioTestCase):
+    """When the ledger is written again after trouble with the store."""
+
+    async def asyncSetUp(self) -> None:
+        """Write the ledger of a process once, and take the store away."""
+        configure_logs('critical')
+        self.store = _Store()
+        clock = SystemClock()
+        log = get_logger('test')
+        purse = Purse('a-1#1', '127.0.0.1:1', clock, FleetTime(clock))
+        peers = Peers(purse, ConnectionPool(clock), clock, log)
+        chance = random.Random(1)
+        store = cast(PlatformStore, self.store)
+        self.money = Money(purse, peers, store, clock, chance, log)
+        self.task = asyncio.create_task(self.money.run())
+        self.money.set_prepaid({'acme': PREPAID})
+        await eventually(lambda: self.store.writes)
+        await asyncio.sleep(SETTLE_S)
+        self.store.writes = 0
+
+    async def asyncTearDown(self) -> None:
+        """End the process."""
+        self.task.cancel()
+
+    async def test_written_as_soon_as_the_store_answers(self) -> None:
+        """Guards against refusals while the store is there again."""
+        self.store.away = True
+        self.money.renew()
+        await asyncio.sleep(SETTLE_S)
+        self.store.away = False
+        self.money.note_contact()
+        await eventually(lambda: self.store.writes, SOON_S)
+
+    async def test_contention_is_no_lost_store(self) -> None:
+        """Guards against refusals because many VMs write at once."""
+        self.store.conflicts = MOST_CONFLICTS
+        self.money.renew()
+        await asyncio.sleep(SETTLE_S)
+        wanted = self.money.available()['acme'] + 1
+        held = await self.money.reserve('acme', wanted, 5.0)
+        self.assertEqual(held.tokens, wanted)
+        self.assertEqual(self.store.writes, 1)
