Drop fields that nothing used; sum a trial's counts once

Bounds.drain_ms, VmSettings.domains and Service.max_connections were read and validated, but nothing used them. Trial.share merged the counts of all VMs up to three times a request. Faults of the platform's settings and documents are described in one place.

--- a/fuchsiafork/gateway/catalog.py
+++ b/fuchsiafork/gateway/catalog.py
@@ -77,7 +77,6 @@
     """
 
     name: str
-    max_connections: int
     event_tokens: int = 0
 
 
--- a/fuchsiafork/gateway/rollouts.py
+++ b/fuchsiafork/gateway/rollouts.py
@@ -70,7 +70,7 @@
                 'version': trial.order.version,
                 'verdict': trial.verdict.value,
                 'share': trial.share(),
-                'evidence': round(trial.log_evidence(), 2),
+                'evidence': round(trial.sums().log_evidence(), 2),
             }
             for service, trial in self._trials.items()
         }
@@ -158,16 +158,16 @@
         """Take over a verdict that was stored."""
         trial.verdict = verdict
         if verdict is not Verdict.NONE:
-            total = trial.total()
+            sums = trial.sums()
             self._log.info(
                 'rollout_decided',
                 service=trial.order.service,
                 version=trial.order.version,
                 verdict=verdict.value,
-                evidence=round(trial.log_evidence(), 2),
-                seen=total.new.seen,
-                failed=total.new.failed,
-                slow=total.new.slow,
+                evidence=round(sums.log_evidence(), 2),
+                seen=sums.total.new.seen,
+                failed=sums.total.new.failed,
+                slow=sums.total.new.slow,
             )
 
 
--- a/fuchsiafork/gateway/trial.py
+++ b/fuchsiafork/gateway/trial.py
@@ -108,6 +108,21 @@
 Table = dict[str, RouteCounts]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sums:
+    """Counts of all processes, by route and on all routes."""
+
+    routes: Table
+    total: RouteCounts
+
+    def log_evidence(self) -> float:
+        """Return the strongest evidence, over all routes or on one."""
+        each = [counts.log_evidence() for counts in self.routes.values()]
+        # One of several routes looks bad by chance more easily than all.
+        worst = max(each, default=0.0) - math.log(max(1, len(each)))
+        return max(self.total.log_evidence(), worst)
+
+
 class Trial:
     """
     One order and what is known of the version.
@@ -149,46 +164,38 @@
         """Return the share of requests that the new version gets now."""
         if self.verdict is not Verdict.NONE:
             return float(self.verdict is Verdict.GOOD)
-        if self.shared and self.total().new.seen < FIRST_SEEN:
+        if not self.shared:
+            return CAREFUL_SHARE
+        sums = self.sums()
+        if sums.total.new.seen < FIRST_SEEN:
             return FIRST_SHARE
-        careful = not self.shared or self.log_evidence() > LOG_SUSPECT
-        return CAREFUL_SHARE if careful else TRIAL_SHARE
+        suspect = sums.log_evidence() > LOG_SUSPECT
+        return CAREFUL_SHARE if suspect else TRIAL_SHARE
 
     def decide(self, now: float) -> Verdict:
         """Return the verdict that the evidence and the time call for."""
-        evidence = self.log_evidence()
+        sums = self.sums()
+        evidence = sums.log_evidence()
         if evidence >= LOG_CONDEMN:
             return Verdict.BAD
         part = (now - self._began) / max(self.order.duration_s, 1e-3)
-        seen = self.total().new.seen
+        seen = sums.total.new.seen
         if part >= PROVEN_AT and seen >= LEAST_SEEN and evidence <= 0:
             return Verdict.GOOD
         if part >= UNPROVEN_AT:
             return Verdict.BAD if evidence > LOG_DOUBT else Verdict.GOOD
         return Verdict.NONE
 
-    def log_evidence(self) -> float:
-        """Return the strongest evidence, over all routes or on one."""
-        merged = self._merge()
-        routes = [counts.log_evidence() for counts in merged.values()]
-        # One of several routes looks bad by chance more easily than all.
-        worst = max(routes, default=0.0) - math.log(max(1, len(routes)))
-        return max(self.total().log_evidence(), worst)
-
-    def total(self) -> RouteCounts:
-        """Return the counts of all processes and routes."""
-        total = RouteCounts()
-        for counts in self._merge().values():
-            total.add(counts)
-        return total
-
-    def _merge(self) -> Table:
-        """Return the counts of all processes by route."""
-        merged: Table = {}
+    def sums(self) -> Sums:
+        """Return the counts of all processes."""
+        routes: Table = {}
         for table in (self.own, *self.others.values()):
             for route, counts in table.items():
-                merged.setdefault(route, RouteCounts()).add(counts)
-        return merged
+                routes.setdefault(route, RouteCounts()).add(counts)
+        total = RouteCounts()
+        for merged in routes.values():
+            total.add(merged)
+        return Sums(routes, total)
 
     def _is_slow(self, route: str, seconds: float) -> bool:
         """Return whether an answer took far longer than usual."""
--- a/fuchsiafork/platform/documents.py
+++ b/fuchsiafork/platform/documents.py
@@ -1,7 +1,6 @@
 """Reads the operator's configuration and the targets' entries."""
 
 import json
-from typing import Any
 
 import pydantic
 import pydantic.alias_generators
@@ -18,6 +17,7 @@
 )
 from fuchsiafork.gateway.targets import Target
 from fuchsiafork.kernel.errors import ConfigurationError
+from fuchsiafork.platform.faults import describe_fault
 from fuchsiafork.transport.caller import CallerLimits
 
 _MS_PER_S = 1000.0
@@ -67,7 +67,6 @@
 
 class _Service(_Model):
     name: str
-    max_connections: int = 100
     engine: _Engine | None = None
 
 
@@ -119,7 +118,8 @@
     try:
         document = _Document.model_validate_json(value)
     except pydantic.ValidationError as error:
-        raise ConfigurationError(_describe(error)) from None
+        reasons = '; '.join(map(describe_fault, error.errors()))
+        raise ConfigurationError(reasons) from None
     tenants = document.tenants or []
     return Catalog(
         version=document.version,
@@ -190,7 +190,6 @@
     engine = service.engine
     return Service(
         name=service.name,
-        max_connections=service.max_connections,
         event_tokens=engine.stride if engine else 0,
     )
 
@@ -203,12 +202,3 @@
         header_timeout_s=limits.header_timeout_ms / _MS_PER_S,
         idle_timeout_s=limits.idle_timeout_ms / _MS_PER_S,
     )
-
-
-def _describe(error: pydantic.ValidationError) -> str:
-    """Return the faults of a document; values are left out, keys too."""
-    faults: list[Any] = error.errors()
-    return '; '.join(
-        f'{".".join(str(part) for part in fault["loc"])}: {fault["msg"]}'
-        for fault in faults
-    )
--- a/fuchsiafork/platform/settings.py
+++ b/fuchsiafork/platform/settings.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from fuchsiafork.kernel.errors import SettingsError
+from fuchsiafork.platform.faults import describe_fault
 
 PATH_VARIABLE = 'FUCHSIAFORK_NODE_FILE'
 DEFAULT_PATH = '/etc/fuchsiafork/node.conf'
@@ -27,14 +28,12 @@
     Bounds that the users have agreed with the platform.
 
     :ivar grace_s: seconds from SIGTERM to SIGKILL.
-    :ivar drain_ms: time after which a leaving target gets no new request.
     :ivar retry_ratio: repeats the whole fleet may send, per request.
     :ivar retry_extra: repeats that it may send besides, in a window.
     :ivar retry_window_s: length of that window.
     """
 
     grace_s: float = pydantic.Field(8.0, alias='graceS')
-    drain_ms: float = pydantic.Field(2000.0, alias='drainMs')
     retry_ratio: float = pydantic.Field(0.2, alias='retryBudgetRatio')
     retry_extra: float = pydantic.Field(20.0, alias='budgetExtra')
     retry_window_s: float = pydantic.Field(10.0, alias='budgetWindowS')
@@ -59,15 +58,10 @@
 
     :ivar vm: name of the VM.
     :ivar domain: its failure domain.
-    :ivar domains: all failure domains, with their regions.
     """
 
     vm: str = pydantic.Field(alias='node')
     domain: str = pydantic.Field(alias='zone')
-    domains: dict[str, str] = pydantic.Field(
-        alias='zones',
-        default_factory=dict,
-    )
     ip: str
     # First and last port for traffic between the VMs.
     inner_ports: str = pydantic.Field(alias='internalPorts')
@@ -106,7 +100,10 @@
     try:
         return VmSettings.model_validate(_parse(text))
     except pydantic.ValidationError as error:
-        lines = [_describe(path, fault) for fault in error.errors()]
+        lines = [
+            f'{path}: {describe_fault(fault)} (code {SettingsError.code})'
+            for fault in error.errors()
+        ]
     raise SettingsError('\n'.join(lines))
 
 
@@ -129,9 +126,3 @@
             return
         table = inner
     table[parts[-1]] = value
-
-
-def _describe(path: Path, fault: Any) -> str:
-    """Return one fault with file, field, reason and code."""
-    field = '.'.join(str(part) for part in fault['loc'])
-    return f'{path}: {field}: {fault["msg"]} (code {SettingsError.code})'
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -42,7 +42,7 @@
         """Guards against a bad version that replaces the old one."""
         trials = [_play(seed, 0.8) for seed in range(60)]
         self.assertTrue(all(t.verdict is Verdict.BAD for t in trials))
-        self.assertLessEqual(max(t.total().new.seen for t in trials), 12)
+        self.assertLessEqual(max(t.sums().total.new.seen for t in trials), 12)
 
     def test_slow_versions_are_taken_back(self) -> None:
         """Guards against judging by failures alone."""
@@ -53,7 +53,7 @@
     def test_share_of_an_unproven_version(self) -> None:
         """Guards against exposing callers to it beyond a tenth."""
         for seed in range(20):
-            total = _play(seed, 0.3).total()
+            total = _play(seed, 0.3).sums().total
             seen = total.new.seen + total.old.seen
             self.assertLessEqual(total.new.seen, 0.1 * seen + 25)
 
