--- a/fuchsiafork/gateway/clocks.py
+++ b/fuchsiafork/gateway/clocks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import Any
 
 from fuchsiafork.gateway.money import Money
 from fuchsiafork.gateway.peers import Peers
@@ -25,6 +26,7 @@
         peers: Peers,
         money: Money,
         chance: random.Random,
+        log: Any,
     ) -> None:
         """Ask the VMs that the purse knows."""
         self._time = time
@@ -32,6 +34,7 @@
         self._peers = peers
         self._money = money
         self._chance = chance
+        self._log = log
 
     async def run(self) -> None:
         """Ask until the clocks agree, then have the ledger written."""
@@ -39,6 +42,7 @@
         while not await self._agreed():
             await asyncio.sleep(pause * self._chance.uniform(0.8, 1.2))
             pause = min(LONGEST_S, pause * 2)
+        self._log.info('clocks_agree')
         self._money.renew()
         await asyncio.Event().wait()
 
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -106,7 +106,7 @@
         money=money,
         rollouts=Rollouts(holder, store, clock, log),
     )
-    return services, ClockCheck(time, purse, peers, money, chance)
+    return services, ClockCheck(time, purse, peers, money, chance, log)
 
 
 def _make_store(basis: _Basis) -> PlatformStore:
--- a/fuchsiafork/gateway/money.py
+++ b/fuchsiafork/gateway/money.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import heapq
+import operator
 import random
 from typing import Any
 
@@ -21,6 +23,7 @@
 from fuchsiafork.prepaid import (
     Purse,
     Reservation,
+    Retired,
     decode_ledger,
     encode_ledger,
 )
@@ -43,6 +46,8 @@
 STALLED_S = 0.5
 # A record read this long ago still tells whether tokens are free.
 FRESH_S = 0.8
+# Accounts of which a line names what a predecessor left withheld.
+MOST_LOGGED = 12
 # Other VMs that are asked for the tokens of one request.
 MOST_ASKED = 3
 
@@ -262,12 +267,30 @@
             raise
         if swap.revision:
             self._purse.confirm(change, ledger)
+            self._log_retired(change.retired)
             return None
         self._purse.withdraw(change)
         if swap.current:
             return swap.current[0]
         return await self._store.read(LEDGER_KEY)
 
+    def _log_retired(self, retired: list[Retired]) -> None:
+        """Log what became of the tokens of earlier processes of this VM."""
+        for gone in retired:
+            most = heapq.nlargest(
+                MOST_LOGGED,
+                gone.withheld.items(),
+                key=operator.itemgetter(1),
+            )
+            self._log.warning(
+                'predecessor_retired',
+                holder=gone.holder,
+                elapsed_s=gone.elapsed_s and round(gone.elapsed_s, 2),
+                freed=gone.freed,
+                withheld=sum(gone.withheld.values()),
+                accounts=','.join(f'{name}:{left}' for name, left in most),
+            )
+
     def _note_reached(self, *, reached: bool, reason: str) -> None:
         """Log when the ledger is lost or regained."""
         if reached != self._reached:
--- a/fuchsiafork/prepaid/__init__.py
+++ b/fuchsiafork/prepaid/__init__.py
@@ -4,6 +4,7 @@
 from fuchsiafork.prepaid.ledger import (
     AccountEntry,
     Ledger,
+    Retired,
     decode_ledger,
     encode_ledger,
 )
@@ -16,6 +17,7 @@
     'Ledger',
     'Purse',
     'Reservation',
+    'Retired',
     'decode_ledger',
     'encode_ledger',
 )
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -112,6 +112,23 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retired:
+    """
+    An earlier process of a VM, and what became of its tokens.
+
+    :ivar elapsed_s: most seconds from its last write to its end, None if
+        they can't be told.
+    :ivar freed: tokens that it can't have spent, over all accounts.
+    :ivar withheld: tokens that it may have spent, by account.
+    """
+
+    holder: str
+    elapsed_s: float | None
+    freed: int
+    withheld: dict[str, int]
+
+
 @dataclasses.dataclass(slots=True)
 class Ledger:
     """The record as a whole."""
@@ -137,7 +154,7 @@
         started: Moment,
         *,
         may_wait: bool = False,
-    ) -> None:
+    ) -> list[Retired]:
         """
         Drop the earlier processes of a holder's VM.
 
@@ -146,7 +163,9 @@
 
         :param may_wait: whether those stay for now whose end the clocks
             can't tell exactly.
+        :return: those that were dropped.
         """
+        retired = []
         vm = _vm(successor)
         for name in tuple(self.holders):
             if name == successor or _vm(name) != vm:
@@ -156,15 +175,23 @@
                 continue
             self.holders.pop(name)
             elapsed = _elapsed_s(written, started)
-            if elapsed is not None:
-                self._reclaim(name, elapsed)
+            retired.append(self._reclaim(name, elapsed))
+        return retired
 
-    def _reclaim(self, holder: str, elapsed_s: float) -> None:
+    def _reclaim(self, holder: str, elapsed_s: float | None) -> Retired:
         """Leave a holder that ended what it may have spent."""
-        for entry in self.accounts.values():
+        freed = 0
+        withheld = {}
+        for account, entry in self.accounts.items():
             share = entry.shares.get(holder)
-            if share is not None:
+            if share is None or not share.grant:
+                continue
+            granted = share.grant
+            if elapsed_s is not None:
                 share.grant = share.limit(elapsed_s)
+            freed += granted - share.grant
+            withheld[account] = share.grant
+        return Retired(holder, elapsed_s, freed, withheld)
 
 
 def encode_ledger(ledger: Ledger) -> bytes:
--- a/fuchsiafork/prepaid/purse.py
+++ b/fuchsiafork/prepaid/purse.py
@@ -10,6 +10,7 @@
     Holder,
     Ledger,
     Moment,
+    Retired,
     Share,
 )
 from fuchsiafork.prepaid.sizing import Need, Sizing
@@ -107,11 +108,13 @@
 
     :ivar number: of the write.
     :ivar base: revision of the record that the write replaces.
+    :ivar retired: earlier processes of this VM that it drops.
     """
 
     number: int
     base: int
     accounts: dict[str, Settled]
+    retired: list[Retired]
 
 
 class Purse:
@@ -356,7 +359,7 @@
         self._number += 1
         self._sent_at = self._clock.now()
         written = self._moment()
-        self._retire(ledger)
+        retired = self._retire(ledger)
         ledger.holders[self._holder] = Holder(
             self._number,
             written,
@@ -367,7 +370,7 @@
             account: self._plan_account(ledger.entry(account), account, live)
             for account in self._prepaid
         }
-        change = Change(self._number, revision, accounts)
+        change = Change(self._number, revision, accounts, retired)
         self._unknown.append(change)
         return change
 
@@ -392,12 +395,12 @@
         boot = self._clock.now()
         return Moment(self._clock.wall(), boot, self._time.at(boot))
 
-    def _retire(self, ledger: Ledger) -> None:
+    def _retire(self, ledger: Ledger) -> list[Retired]:
         """Free what the earlier processes of this VM can't have spent."""
         wall, boot = self._started
         started = Moment(wall, boot, self._time.at(boot))
         young = self._clock.now() - boot < TIME_WAIT_S
-        ledger.retire(
+        return ledger.retire(
             self._holder,
             started,
             may_wait=young and not self._time.known,
--- /dev/null
+++ b/tests/test_gateway_clocks.py
@@ -0,0 +1,73 @@
+"""VMs that compare their clocks."""
+
+import asyncio
+import random
+from typing import cast
+from unittest import mock
+
+from fuchsiafork.gateway.clocks import ClockCheck
+from fuchsiafork.gateway.peers import Peers
+from fuchsiafork.kernel import SystemClock
+from fuchsiafork.prepaid import FleetTime, Purse
+from fuchsiafork.transport.pool import ConnectionPool
+from tests.gateway_case import GatewayCase
+
+JUMP_S = 2.0
+TRIES_S = 1.0
+
+
+class TestClockCheck(GatewayCase):
+    """The fleet's time among gateways on loopback."""
+
+    async def asyncSetUp(self) -> None:
+        """Start two more VMs, and compare as a fourth."""
+        await super().asyncSetUp()
+        await self.site.add_gateway('a-2', 'a')
+        await self.site.add_gateway('b-1', 'b')
+        self.clock = SystemClock()
+        self.time = FleetTime(self.clock)
+        self.log = mock.Mock()
+        self.money = mock.Mock()
+        self.others = [
+            gateway._settings.peer_address
+            for gateway in self.site.gateways.values()
+        ]
+
+    async def check(self) -> None:
+        """Compare for a while."""
+        purse = mock.Mock(spec=Purse)
+        purse.others = self.others
+        pool = ConnectionPool(self.clock)
+        peers = Peers(cast(Purse, purse), pool, self.clock, self.log)
+        chance = random.Random(1)
+        check = ClockCheck(
+            self.time, cast(Purse, purse), peers, self.money, chance, self.log
+        )
+        task = asyncio.create_task(check.run())
+        await asyncio.sleep(TRIES_S)
+        task.cancel()
+
+    async def test_clocks_agree_and_the_ledger_is_written(self) -> None:
+        """Guards against a successor that waits for the time in vain."""
+        await self.check()
+        self.assertTrue(self.time.known)
+        self.money.renew.assert_called_once_with()
+        at = self.time.at(self.clock.now())
+        assert at is not None
+        self.assertAlmostEqual(at, self.clock.wall(), places=1)
+
+    async def test_clock_that_has_jumped(self) -> None:
+        """Guards against believing a clock that others contradict."""
+        ahead = mock.Mock(wraps=self.clock)
+        ahead.wall = lambda: SystemClock().wall() + JUMP_S
+        self.clock = cast(SystemClock, ahead)
+        self.time = FleetTime(ahead)
+        await self.check()
+        self.assertFalse(self.time.known)
+        self.money.renew.assert_not_called()
+
+    async def test_vm_alone(self) -> None:
+        """Guards against a time on which only one other VM agrees."""
+        self.others = self.others[:1]
+        await self.check()
+        self.assertFalse(self.time.known)
--- a/tests/test_gateway_money.py
+++ b/tests/test_gateway_money.py
@@ -4,12 +4,13 @@
 import random
 import unittest
 from typing import cast
+from unittest import mock
 
 from fuchsiafork.gateway.money import LEDGER_KEY, MOST_CONFLICTS, Money
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.kernel import SystemClock
 from fuchsiafork.kernel.errors import StoreUnavailableError
-from fuchsiafork.observability.logs import configure_logs, get_logger
+from fuchsiafork.observability.logs import configure_logs
 from fuchsiafork.platform.store import Item, PlatformStore, Swap
 from fuchsiafork.prepaid import FleetTime, Purse, decode_ledger
 from fuchsiafork.prepaid.ledger import Share
@@ -94,16 +95,11 @@
     """When the ledger is written again after trouble with the store."""
 
     async def asyncSetUp(self) -> None:
-        """Write the ledger of a process once, and take the store away."""
+        """Write the ledger of a process once."""
         configure_logs('critical')
         self.store = _Store()
-        clock = SystemClock()
-        log = get_logger('test')
-        purse = Purse('a-1#1', '127.0.0.1:1', clock, FleetTime(clock))
-        peers = Peers(purse, ConnectionPool(clock), clock, log)
-        chance = random.Random(1)
-        store = cast(PlatformStore, self.store)
-        self.money = Money(purse, peers, store, clock, chance, log)
+        self.log = mock.Mock()
+        self.money = self.make_money('a-1#1')
         self.task = asyncio.create_task(self.money.run())
         self.money.set_prepaid({'acme': PREPAID})
         await eventually(lambda: self.store.writes)
@@ -114,6 +110,15 @@
         """End the process."""
         self.task.cancel()
 
+    def make_money(self, holder: str) -> Money:
+        """Return what holds the tokens of a process of the VM."""
+        clock = SystemClock()
+        purse = Purse(holder, '127.0.0.1:1', clock, FleetTime(clock))
+        peers = Peers(purse, ConnectionPool(clock), clock, self.log)
+        store = cast(PlatformStore, self.store)
+        chance = random.Random(1)
+        return Money(purse, peers, store, clock, chance, self.log)
+
     async def test_written_as_soon_as_the_store_answers(self) -> None:
         """Guards against refusals while the store is there again."""
         self.store.away = True
@@ -132,3 +137,16 @@
         held = await self.money.reserve('acme', wanted, 5.0)
         self.assertEqual(held.tokens, wanted)
         self.assertEqual(self.store.writes, 1)
+
+    async def test_line_on_what_a_predecessor_left(self) -> None:
+        """Guards against withheld tokens that no line explains."""
+        self.task.cancel()
+        await self.make_money('a-1#2').stop()
+        fields = next(
+            line.kwargs
+            for line in self.log.warning.call_args_list
+            if line.args == ('predecessor_retired',)
+        )
+        self.assertEqual(fields['holder'], 'a-1#1')
+        self.assertGreater(fields['freed'], 0)
+        self.assertEqual(fields['accounts'], f'acme:{fields["withheld"]}')
