Read only the newest configuration of a batch

Configurations come in a storm, and a watch answers with each of them in full; every one was validated. Change: the newest that can be read is taken, older ones of the batch are not.

--- a/fuchsiafork/gateway/registry.py
+++ b/fuchsiafork/gateway/registry.py
@@ -26,23 +26,29 @@
         self._version = -1
 
     def take(self, changes: Changes) -> None:
-        """Take over the configuration, if it is among some items."""
-        for item in changes.items:
-            if item.key == names.CONFIGURATION_KEY and item.value:
-                self._take_document(item.value)
-
-    def _take_document(self, value: bytes) -> None:
-        """Take over a document, unless it is older or can't be read."""
+        """Take over the newest configuration among some items, if any."""
+        documents = [
+            item.value
+            for item in changes.items
+            if item.key == names.CONFIGURATION_KEY and item.value
+        ]
+        # The older ones of a batch are read only if the newest can't be.
+        for document in reversed(documents):
+            if self._take_document(document):
+                break
+
+    def _take_document(self, value: bytes) -> bool:
+        """Take over a document unless it is older; tell if it can be read."""
         try:
             catalog = read_catalog(value)
         except ConfigurationError as error:
             self._log.error('configuration_invalid', reason=str(error))
-            return
-        if catalog.version <= self._version:
-            return
-        self._version = catalog.version
-        self._log.info('configuration_applied', version=catalog.version)
-        self._apply(catalog)
+            return False
+        if catalog.version > self._version:
+            self._version = catalog.version
+            self._log.info('configuration_applied', version=catalog.version)
+            self._apply(catalog)
+        return True
 
 
 class TargetFeed:
