Say how many bytes control costs a VM, by purpose

The logs couldn't tell a link that is full of ledger records from one that is full of configurations.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from fuchsiafork.gateway.clocks import ClockCheck
+from fuchsiafork.gateway.control_traffic import ControlTraffic
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.prepaid_tokens import PrepaidTokens
@@ -34,6 +35,7 @@
     :ivar target_watcher: follows the registered entries of targets.
     :ivar target_feed: applies these entries to the target table.
     :ivar clock_check: compares the clock with those of other VMs.
+    :ivar traffic: bytes exchanged for control.
     """
 
     shared: SharedState
@@ -42,6 +44,7 @@
     target_watcher: Watcher
     target_feed: TargetFeed
     clock_check: ClockCheck
+    traffic: ControlTraffic
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,18 +56,21 @@
     rng: random.Random
     pool: ConnectionPool
     metrics: GatewayMetrics
+    traffic: ControlTraffic
     log: Any
 
 
 def compose(settings: VmSettings, log: Any) -> Components:
     """Return the components of a process with the given settings."""
     clock = SystemClock()
+    metrics = GatewayMetrics()
     dependencies = _Dependencies(
         settings,
         clock,
         random.Random(secrets.randbits(64)),
         ConnectionPool(clock),
-        GatewayMetrics(),
+        metrics,
+        ControlTraffic(metrics.control_bytes, log),
         log,
     )
     store = _make_store(dependencies)
@@ -82,6 +88,7 @@
         target_watcher=target_watcher,
         target_feed=TargetFeed(shared.targets, target_watcher, clock, log),
         clock_check=clock_check,
+        traffic=dependencies.traffic,
     )
 
 
@@ -96,7 +103,9 @@
     allocator = TokenAllocator(
         instance_id, dependencies.settings.peer_address, clock, time
     )
-    peers = Peers(allocator, dependencies.pool, clock, log)
+    peers = Peers(
+        allocator, dependencies.pool, clock, log, dependencies.traffic.record
+    )
     prepaid_tokens = PrepaidTokens(allocator, peers, store, clock, rng, log)
     reachability = DomainReachability()
     shared = SharedState(
@@ -125,6 +134,7 @@
         dependencies.settings.store.address,
         dependencies.pool,
         lambda outcome: calls.labels(outcome).inc(),
+        dependencies.traffic.record,
     )
 
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -43,6 +43,12 @@
             ('outcome',),
             registry=self.registry,
         )
+        self.control_bytes = prom.Counter(
+            'fuchsiafork_gateway_control_bytes',
+            'Bytes of calls to the store and to other VMs, by purpose.',
+            ('purpose', 'direction'),
+            registry=self.registry,
+        )
         self.data_age = prom.Gauge(
             'fuchsiafork_gateway_age_seconds',
             'Time since contact about the configuration, the registry of '
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -10,7 +10,12 @@
     BrokenAnswerError,
     ConnectError,
 )
-from fuchsiafork.transport.json_call import JsonCall, call_json
+from fuchsiafork.transport.json_call import (
+    CountBytes,
+    JsonCall,
+    call_json,
+    ignore_bytes,
+)
 from fuchsiafork.transport.pool import ConnectionPool
 
 TOKENS_PATH = '/tokens'
@@ -35,11 +40,13 @@
         pool: ConnectionPool,
         clock: Clock,
         log: Any,
+        count_bytes: CountBytes = ignore_bytes,
     ) -> None:
         """Transfer tokens out of an allocator."""
         self._allocator = allocator
         self._pool = pool
         self._clock = clock
+        self._count_bytes = count_bytes
         self._backoff_until: dict[str, float] = {}
         self._log = log
 
@@ -62,6 +69,7 @@
             self._log.warning('peer_silent', peer=address, reason=str(error))
             self._backoff_until[address] = now + BACKOFF_S
             return 0
+        self._count_bytes('peers', answer.sent_bytes, answer.received_bytes)
         transferred = answer.body if answer.status == _OK else 0
         return transferred if isinstance(transferred, int) else 0
 
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -11,7 +11,13 @@
     BrokenAnswerError,
     ConnectError,
 )
-from fuchsiafork.transport.json_call import JsonAnswer, JsonCall, call_json
+from fuchsiafork.transport.json_call import (
+    CountBytes,
+    JsonAnswer,
+    JsonCall,
+    call_json,
+    ignore_bytes,
+)
 from fuchsiafork.transport.pool import ConnectionPool
 
 CALL_TIMEOUT_S = 2.0
@@ -85,16 +91,20 @@
         address: str,
         pool: ConnectionPool,
         count: Callable[[str], None] = _ignore_outcome,
+        count_bytes: CountBytes = ignore_bytes,
     ) -> None:
         """
         Use the store at IP:PORT.
 
         :param count: called with the outcome of each call: ``answered``,
             ``unavailable`` if it was not sent, or ``unknown``.
+        :param count_bytes: called with the key or prefix of an answered call,
+            and the bytes sent and received.
         """
         self.address = address
         self._pool = pool
         self._count = count
+        self._count_bytes = count_bytes
 
     async def read(self, key: str) -> Item:
         """
@@ -103,7 +113,7 @@
         :raises StoreUnavailableError: if the store doesn't answer.
         """
         query = urllib.parse.urlencode({'key': key})
-        answer = await self._call('GET', f'/api/kv-key?{query}')
+        answer = await self._call('GET', f'/api/kv-key?{query}', key)
         if answer.status == _NOT_FOUND:
             return Item(key, 0, None)
         _check_status(answer, _OK)
@@ -144,6 +154,7 @@
         answer = await self._call(
             'GET',
             f'/api/kv-watch?{query}',
+            prefix,
             timeout_s=wait_s + WATCH_MARGIN_S,
         )
         if answer.status == _GONE:
@@ -180,7 +191,7 @@
             ],
             'remove': [],
         }
-        answer = await self._call('POST', '/api/kv-txn', body)
+        answer = await self._call('POST', '/api/kv-txn', key, body)
         if answer.status == _CONFLICT:
             current = answer.body.get('items') or ()
             return Swap(0, tuple(_parse_item(item) for item in current))
@@ -193,7 +204,7 @@
         if after:
             fields['after'] = after
         query = urllib.parse.urlencode(fields)
-        answer = await self._call('GET', f'/api/kv-range?{query}')
+        answer = await self._call('GET', f'/api/kv-range?{query}', prefix)
         _check_status(answer, _OK)
         return answer.body
 
@@ -201,10 +212,11 @@
         self,
         method: str,
         path: str,
+        key: str,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> JsonAnswer:
-        """Call the store, count the outcome and return the answer."""
+        """Call the store, count outcome and bytes and return the answer."""
         try:
             answer = await call_json(
                 self._pool,
@@ -219,6 +231,7 @@
             self._count('unknown')
             raise StoreOutcomeUnknownError(f'{path}: {error}') from None
         self._count('answered')
+        self._count_bytes(key, answer.sent_bytes, answer.received_bytes)
         return answer
 
 
--- /dev/null
+++ b/fuchsiafork/prepaid/holder_slots.py
@@ -0,0 +1,115 @@
+"""
+The VMs that hold grants of the ledger; does no I/O.
+
+A grant is useful only if it covers whole requests, so a large fleet doesn't
+divide each account among all VMs. A few VMs of each failure domain occupy a
+slot and hold the grants; the other VMs draw tokens from them for each request.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from fuchsiafork.kernel import rank
+
+# Slots of a failure domain. Three let a domain that is cut off survive the
+# loss of two VMs.
+SLOTS_PER_DOMAIN = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Occupant:
+    """
+    The VM that occupies a slot.
+
+    :ivar address: IP:PORT at which other VMs draw tokens.
+    """
+
+    vm: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slot:
+    """
+    A slot of a failure domain.
+
+    :ivar revision: revision of the slot's item, 0 if it is vacant.
+    """
+
+    domain: str
+    number: int
+    revision: int = 0
+    occupant: Occupant | None = None
+
+
+class HolderSlots:
+    """The occupied slots of all failure domains, as one VM knows them."""
+
+    def __init__(self, vm: str, domain: str) -> None:
+        """Start without an occupied slot."""
+        self._vm = vm
+        self._domain = domain
+        self._occupied: dict[tuple[str, int], Slot] = {}
+
+    @property
+    def own_slot(self) -> Slot | None:
+        """The slot that this VM occupies, None if it occupies none."""
+        return next(
+            (
+                slot
+                for slot in self._occupied.values()
+                if slot.occupant and slot.occupant.vm == self._vm
+            ),
+            None,
+        )
+
+    @property
+    def vacant_slots(self) -> list[Slot]:
+        """The vacant slots of this VM's failure domain."""
+        return [
+            Slot(self._domain, number)
+            for number in range(SLOTS_PER_DOMAIN)
+            if (self._domain, number) not in self._occupied
+        ]
+
+    @property
+    def addresses(self) -> list[str]:
+        """Addresses of the occupants, without this VM."""
+        return [
+            slot.occupant.address
+            for slot in self._occupied.values()
+            if slot.occupant and slot.occupant.vm != self._vm
+        ]
+
+    def replace(self, slots: Iterable[Slot]) -> None:
+        """Replace all slots by a complete listing."""
+        self._occupied.clear()
+        for slot in slots:
+            self.update(slot)
+
+    def update(self, slot: Slot) -> None:
+        """Set the occupant of one slot, or mark it as vacant."""
+        place = (slot.domain, slot.number)
+        if slot.occupant is None:
+            self._occupied.pop(place, None)
+        else:
+            self._occupied[place] = slot
+
+    def addresses_for(self, key: str) -> list[str]:
+        """
+        Return the occupants' addresses in the order in which to draw.
+
+        All VMs of a failure domain prefer the same occupant for a key, so that
+        the tokens of an account aren't spread over more grants than needed.
+        """
+        occupants = [
+            (slot.domain != self._domain, slot.occupant)
+            for slot in self._occupied.values()
+            if slot.occupant and slot.occupant.vm != self._vm
+        ]
+        order = rank(key, [occupant.vm for _, occupant in occupants])
+        occupants.sort(key=lambda pair: (pair[0], order.index(pair[1].vm)))
+        return [occupant.address for _, occupant in occupants]
+
+
+__all__ = ('SLOTS_PER_DOMAIN', 'HolderSlots', 'Occupant', 'Slot')
--- a/fuchsiafork/transport/json_call.py
+++ b/fuchsiafork/transport/json_call.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -18,6 +19,9 @@
 # does not answer.
 PART_TIMEOUT_S = 1.0
 
+# Called with a purpose and the bytes sent and received for it.
+CountBytes = Callable[[str, int, int], None]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JsonCall:
@@ -38,10 +42,18 @@
     An answer, with a JSON body if any.
 
     :ivar body: decoded value, an empty dict if there is no body.
+    :ivar sent_bytes: size of the call's body.
+    :ivar received_bytes: size of the answer's body.
     """
 
     status: int
     body: Any
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+def ignore_bytes(purpose: str, sent: int, received: int) -> None:
+    """Do nothing; used if bytes aren't counted."""
 
 
 async def call_json(
@@ -97,7 +109,12 @@
         event = await connection.next_event()
     keep_alive = dict(head.headers).get(b'keep-alive', b'')
     connection.idle_limit_s = idle_limit_s(keep_alive.decode('latin-1'))
-    return JsonAnswer(head.status_code, json.loads(content) if content else {})
+    return JsonAnswer(
+        head.status_code,
+        json.loads(content) if content else {},
+        len(payload),
+        len(content),
+    )
 
 
 def _extend(limit: asyncio.Timeout) -> None:
