Let few VMs of each failure domain hold the grants of the ledger

Cause: each of 74 VMs held a part of each account, so that a part was smaller than one prompt (at hand 98 of 2,099 tokens, 49,236 free, 148,142 with other VMs), and each VM wrote the whole record of 47 KB under a condition, which conflicted six times in a row. In 5 s a VM without grants to speak of sent and received 600 to 720 KB of it, a quarter of its link.

Change: three VMs of a domain occupy a slot under a lease and hold the grants; the others draw the tokens of each request from them and return what is left. A holder whose lease lapsed goes on until others occupy all slots, and the last occupants stay known, so that an outage leaves nobody without a holder. Fleets of up to three VMs a domain work as before. Rates of demand, grants and what a successor frees are unchanged: only grants in the ledger are spent.

A gateway is ready once it has grants or knows a holder.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -7,6 +7,7 @@
 
 from fuchsiafork.gateway.clocks import ClockCheck
 from fuchsiafork.gateway.control_traffic import ControlTraffic
+from fuchsiafork.gateway.holder_election import SLOTS_PREFIX, HolderElection
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.prepaid_tokens import PrepaidTokens
@@ -17,12 +18,18 @@
 from fuchsiafork.gateway.store_feeds import TargetFeed
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
+from fuchsiafork.gateway.token_draws import TokenDraws
 from fuchsiafork.gateway.watcher import Watcher
 from fuchsiafork.kernel import Clock, SystemClock
 from fuchsiafork.platform import names
 from fuchsiafork.platform.settings import VmSettings
 from fuchsiafork.platform.store import PlatformStore
-from fuchsiafork.prepaid import FleetTime, TokenAllocator
+from fuchsiafork.prepaid import (
+    FleetTime,
+    HolderSlots,
+    Occupant,
+    TokenAllocator,
+)
 from fuchsiafork.transport.pool import ConnectionPool
 
 
@@ -35,6 +42,8 @@
     :ivar target_watcher: follows the registered entries of targets.
     :ivar target_feed: applies these entries to the target table.
     :ivar clock_check: compares the clock with those of other VMs.
+    :ivar election: claims a slot that lets this VM hold grants.
+    :ivar token_draws: draws tokens from other VMs.
     :ivar traffic: bytes exchanged for control.
     """
 
@@ -44,6 +53,8 @@
     target_watcher: Watcher
     target_feed: TargetFeed
     clock_check: ClockCheck
+    election: HolderElection
+    token_draws: TokenDraws
     traffic: ControlTraffic
 
 
@@ -60,6 +71,17 @@
     log: Any
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Budgets:
+    """The components that handle prepaid tokens."""
+
+    peers: Peers
+    prepaid_tokens: PrepaidTokens
+    token_draws: TokenDraws
+    election: HolderElection
+    clock_check: ClockCheck
+
+
 def compose(settings: VmSettings, log: Any) -> Components:
     """Return the components of a process with the given settings."""
     clock = SystemClock()
@@ -70,12 +92,14 @@
         random.Random(secrets.randbits(64)),
         ConnectionPool(clock),
         metrics,
-        ControlTraffic(metrics.control_bytes, log),
+        ControlTraffic(metrics.control_bytes, clock.now(), log),
         log,
     )
     store = _make_store(dependencies)
     target_watcher = _make_watcher(names.TARGETS_PREFIX, store, dependencies)
-    shared, clock_check = _make_shared_state(dependencies, store)
+    instance_id = f'{settings.vm}#{secrets.token_hex(4)}'
+    budgets = _make_budgets(dependencies, store, instance_id)
+    shared = _make_shared_state(dependencies, store, budgets, instance_id)
     return Components(
         shared=shared,
         store=store,
@@ -87,28 +111,56 @@
         ),
         target_watcher=target_watcher,
         target_feed=TargetFeed(shared.targets, target_watcher, clock, log),
-        clock_check=clock_check,
+        clock_check=budgets.clock_check,
+        election=budgets.election,
+        token_draws=budgets.token_draws,
         traffic=dependencies.traffic,
     )
 
 
-def _make_shared_state(
+def _make_budgets(
     dependencies: _Dependencies,
     store: PlatformStore,
-) -> tuple[SharedState, ClockCheck]:
-    """Return the state shared by requests, and the clock check."""
-    clock, rng, log = dependencies.clock, dependencies.rng, dependencies.log
-    instance_id = f'{dependencies.settings.vm}#{secrets.token_hex(4)}'
+    instance_id: str,
+) -> _Budgets:
+    """Return the components of the prepaid tokens, holding no grants yet."""
+    settings, clock = dependencies.settings, dependencies.clock
+    rng, log = dependencies.rng, dependencies.log
     time = FleetTime(clock)
-    allocator = TokenAllocator(
-        instance_id, dependencies.settings.peer_address, clock, time
-    )
+    allocator = TokenAllocator(instance_id, settings.peer_address, clock, time)
+    allocator.holding = False
     peers = Peers(
         allocator, dependencies.pool, clock, log, dependencies.traffic.record
     )
-    prepaid_tokens = PrepaidTokens(allocator, peers, store, clock, rng, log)
+    slots = HolderSlots(settings.vm, settings.domain)
+    draws = TokenDraws(settings.vm, allocator, slots, peers, clock, rng, log)
+    prepaid_tokens = PrepaidTokens(
+        allocator, peers, store, clock, rng, log, draws
+    )
+    peers.set_allot(prepaid_tokens.allot)
+    election = HolderElection(
+        slots,
+        Occupant(settings.vm, settings.peer_address),
+        store,
+        _make_watcher(SLOTS_PREFIX, store, dependencies),
+        rng,
+        log,
+        settings.limits.link_mbps,
+    )
+    check = ClockCheck(time, allocator, peers, prepaid_tokens, rng, log)
+    return _Budgets(peers, prepaid_tokens, draws, election, check)
+
+
+def _make_shared_state(
+    dependencies: _Dependencies,
+    store: PlatformStore,
+    budgets: _Budgets,
+    instance_id: str,
+) -> SharedState:
+    """Return the state shared by requests."""
+    clock, rng, log = dependencies.clock, dependencies.rng, dependencies.log
     reachability = DomainReachability()
-    shared = SharedState(
+    return SharedState(
         clock=clock,
         rng=rng,
         log=log,
@@ -120,11 +172,10 @@
             dependencies.settings.domain, reachability, rng
         ),
         retry_budget=make_retry_budget(dependencies.settings),
-        peers=peers,
-        prepaid_tokens=prepaid_tokens,
+        peers=budgets.peers,
+        prepaid_tokens=budgets.prepaid_tokens,
         rollouts=RolloutController(instance_id, store, clock, log),
     )
-    return shared, ClockCheck(time, allocator, peers, prepaid_tokens, rng, log)
 
 
 def _make_store(dependencies: _Dependencies) -> PlatformStore:
--- a/fuchsiafork/gateway/control_traffic.py
+++ b/fuchsiafork/gateway/control_traffic.py
@@ -12,16 +12,17 @@
 class ControlTraffic:
     """Bytes of the bodies of calls to the store and to other VMs."""
 
-    def __init__(self, counter: prom.Counter, log: Any) -> None:
+    def __init__(self, counter: prom.Counter, now: float, log: Any) -> None:
         """
         Start without traffic.
 
         :param counter: metric with the labels ``purpose`` and ``direction``.
+        :param now: current time, seconds.
         """
         self._counter = counter
         self._log = log
         self._since_line: collections.Counter[str] = collections.Counter()
-        self._logged_at = 0.0
+        self._logged_at = now
 
     def record(self, key: str, sent: int, received: int) -> None:
         """
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -1,9 +1,15 @@
 """Token and clock requests between the VMs of the fleet."""
 
+import dataclasses
 import json
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from fuchsiafork.kernel import Clock
+from fuchsiafork.kernel.errors import (
+    BudgetExhaustedError,
+    FuchsiaforkError,
+)
 from fuchsiafork.prepaid import TokenAllocator
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
 from fuchsiafork.transport.client_connection import (
@@ -12,6 +18,7 @@
 )
 from fuchsiafork.transport.json_call import (
     CountBytes,
+    JsonAnswer,
     JsonCall,
     call_json,
     ignore_bytes,
@@ -19,6 +26,8 @@
 from fuchsiafork.transport.pool import ConnectionPool
 
 TOKENS_PATH = '/tokens'
+DRAW_PATH = '/tokens/draw'
+RETURN_PATH = '/tokens/return'
 CLOCK_PATH = '/clock'
 # A VM that takes longer to answer a token request is skipped: a longer wait
 # isn't worthwhile.
@@ -29,6 +38,36 @@
 CLOCK_TIMEOUT_S = 0.1
 
 _OK = 200
+_BAD_REQUEST = 400
+
+# Returns the tokens obtained for a client account within some seconds.
+Allot = Callable[[str, int, float], Coroutine[Any, Any, int]]
+
+
+class PeerSilentError(Exception):
+    """
+    Another VM didn't answer.
+
+    :ivar sent: whether it may have received the request.
+    """
+
+    def __init__(self, reason: str, *, sent: bool) -> None:
+        """Keep the reason."""
+        super().__init__(reason)
+        self.sent = sent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draw:
+    """
+    A holder's answer to a request for tokens.
+
+    :ivar tokens: how many it gave.
+    :ivar reason: why it gave none, empty if it did.
+    """
+
+    tokens: int
+    reason: str = ''
 
 
 class Peers:
@@ -49,30 +88,55 @@
         self._count_bytes = count_bytes
         self._backoff_until: dict[str, float] = {}
         self._log = log
+        self._allot: Allot | None = None
+
+    def set_allot(self, allot: Allot) -> None:
+        """Set the function that obtains tokens for VMs without grants."""
+        self._allot = allot
+
+    def is_silent(self, address: str) -> bool:
+        """Return whether a VM has just failed to answer."""
+        now = self._clock.now()
+        return now < self._backoff_until.get(address, now)
 
     async def request_tokens(
         self, address: str, account: str, tokens: int
     ) -> int:
-        """Request tokens from another VM and return how many it transferred."""
-        now = self._clock.now()
-        if now < self._backoff_until.get(address, now):
-            return 0
-        call = JsonCall('POST', TOKENS_PATH, [account, tokens])
+        """Request tokens of another grant; return how many were given."""
         try:
-            answer = await call_json(
-                self._pool,
-                address,
-                call,
-                TOKENS_TIMEOUT_S,
-            )
-        except (BrokenAnswerError, ConnectError) as error:
-            self._log.warning('peer_silent', peer=address, reason=str(error))
-            self._backoff_until[address] = now + BACKOFF_S
+            answer = await self._call(address, TOKENS_PATH, [account, tokens])
+        except PeerSilentError:
             return 0
-        self._count_bytes('peers', answer.sent_bytes, answer.received_bytes)
         transferred = answer.body if answer.status == _OK else 0
         return transferred if isinstance(transferred, int) else 0
 
+    async def draw(
+        self, address: str, account: str, tokens: int, wait_s: float
+    ) -> Draw:
+        """
+        Draw the tokens of a request from a holder.
+
+        :param wait_s: seconds that the holder may take to obtain more.
+        :raises BudgetExhaustedError: if the budget can't cover them.
+        :raises PeerSilentError: if the holder doesn't answer.
+        """
+        answer = await self._call(
+            address, DRAW_PATH, [account, tokens, wait_s], wait_s
+        )
+        if answer.status == _OK and isinstance(answer.body, int):
+            return Draw(answer.body)
+        if answer.status == BudgetExhaustedError.status:
+            raise BudgetExhaustedError(str(answer.body))
+        return Draw(0, f'holder {address}: {answer.body}')
+
+    async def return_tokens(self, address: str, tokens: dict[str, int]) -> bool:
+        """Return unused tokens; False if they certainly did not arrive."""
+        try:
+            await self._call(address, RETURN_PATH, tokens)
+        except PeerSilentError as error:
+            return error.sent
+        return True
+
     async def measure_clock_offset(self, address: str) -> float | None:
         """
         Measure another VM's wall clock minus this VM's monotonic clock.
@@ -106,11 +170,50 @@
             caller.answer(_OK, [], wall.encode())
             return
         try:
-            account, tokens = json.loads(request.body)
-        except (ValueError, TypeError) as error:
+            answer = await self._handle_tokens(request)
+        except (ValueError, TypeError, AttributeError) as error:
             self._log.warning('peer_unreadable', reason=repr(error))
-            caller.answer(400, [], b'')
-            return
+            caller.answer(_BAD_REQUEST, [], b'')
+        except FuchsiaforkError as error:
+            reason = json.dumps(str(error))
+            caller.answer(error.status, [], reason.encode())
+        else:
+            caller.answer(_OK, [], str(answer).encode())
+
+    async def _handle_tokens(self, request: CallerRequest) -> int:
+        """Transfer tokens to or from another VM; return how many."""
+        content = json.loads(request.body)
+        if request.target == RETURN_PATH:
+            for account, tokens in content.items():
+                self._allocator.transfer_in(str(account), int(tokens))
+            return sum(content.values())
+        if request.target == DRAW_PATH and self._allot is not None:
+            account, tokens, wait_s = content
+            return await self._allot(str(account), int(tokens), float(wait_s))
+        account, tokens = content
         transferred = self._allocator.transfer_out(str(account), int(tokens))
         self._log.info('tokens_given', account=account, tokens=transferred)
-        caller.answer(200, [], str(transferred).encode())
+        return transferred
+
+    async def _call(
+        self, address: str, path: str, body: Any, wait_s: float = 0
+    ) -> JsonAnswer:
+        """
+        Call another VM unless it has just failed to answer.
+
+        :raises PeerSilentError: if it doesn't answer in time.
+        """
+        if self.is_silent(address):
+            raise PeerSilentError(f'{address} did not answer', sent=False)
+        call = JsonCall('POST', path, body)
+        try:
+            answer = await call_json(
+                self._pool, address, call, TOKENS_TIMEOUT_S + wait_s
+            )
+        except (BrokenAnswerError, ConnectError) as error:
+            self._log.warning('peer_silent', peer=address, reason=str(error))
+            self._backoff_until[address] = self._clock.now() + BACKOFF_S
+            sent = isinstance(error, BrokenAnswerError)
+            raise PeerSilentError(f'{address}: {error}', sent=sent) from None
+        self._count_bytes('peers', answer.sent_bytes, answer.received_bytes)
+        return answer
--- a/fuchsiafork/gateway/prepaid_tokens.py
+++ b/fuchsiafork/gateway/prepaid_tokens.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from fuchsiafork.gateway.peers import Peers
+from fuchsiafork.gateway.token_draws import TokenDraws
 from fuchsiafork.kernel import Clock
 from fuchsiafork.kernel.errors import (
     BudgetExhaustedError,
@@ -66,8 +67,15 @@
         clock: Clock,
         rng: random.Random,
         log: Any,
+        draws: TokenDraws | None = None,
     ) -> None:
-        """Start before the first write, with the store marked unreachable."""
+        """
+        Start before the first write, with the store marked unreachable.
+
+        :param draws: obtains tokens while this VM holds no grants; None if it
+            always holds some.
+        """
+        self._draws = draws
         self._allocator = allocator
         self._peers = peers
         self._store = store
@@ -80,6 +88,7 @@
         self._store_reachable = False
         self._sync_started_at: float | None = None
         self._last_synced_at = -FRESH_RECORD_S
+        self._granted = False
         self._demand_updated_at = clock.now()
 
     def set_prepaid(self, prepaid: dict[str, int]) -> None:
@@ -94,6 +103,21 @@
         self._write_requested = True
         self._write_due.set()
 
+    def set_holding(self, holding: bool) -> None:
+        """Set whether this VM holds grants or draws from those that do."""
+        if holding == self._allocator.holding:
+            return
+        self._log.info('holding_changed', holding=holding)
+        self._allocator.holding = holding
+        self.request_write()
+
+    @property
+    def ready(self) -> bool:
+        """Whether this VM has had grants or knows a holder of some."""
+        return self._granted or (
+            self._draws is not None and bool(self._draws.holder_addresses(''))
+        )
+
     @property
     def ledger_age_s(self) -> float:
         """Seconds since the last successful ledger write."""
@@ -122,18 +146,67 @@
         deadline = self._clock.now() + min(
             MAX_WAIT_S, MAX_WAIT_FRACTION * remaining_s
         )
+        return await self._reserve_until(account, tokens, deadline)
+
+    async def allot(self, account: str, tokens: int, wait_s: float) -> int:
+        """
+        Give tokens to a VM that holds no grants; return how many.
+
+        :param wait_s: seconds for which to obtain more than are at hand.
+        :raises BudgetExhaustedError: if the budget can't cover the tokens.
+        :raises BudgetUnreachableError: if they can't be obtained in time.
+        """
+        reservation = self._allocator.reserve(account, tokens)
+        if reservation is None:
+            self._require_obtainable(account, tokens)
+            if not wait_s:
+                self._write_due.set()
+                raise self._budget_unreachable(account, tokens)
+            deadline = self._clock.now() + min(MAX_WAIT_S, wait_s)
+            reservation = await self._reserve_until(account, tokens, deadline)
+        self._allocator.settle(reservation, tokens)
+        return tokens
+
+    async def _reserve_until(
+        self, account: str, tokens: int, deadline: float
+    ) -> Reservation:
+        """Reserve tokens, waiting for more until a deadline."""
         while True:
             reservation = self._allocator.reserve(account, tokens)
             if reservation is not None:
                 return reservation
-            if self._allocator.exhausted(account, tokens):
-                raise BudgetExhaustedError(f'less than {tokens} tokens left')
-            if await self._request_from_peers(account, tokens):
-                continue
-            left = deadline - self._clock.now()
-            if left <= 0 or self._write_cannot_help(account, tokens):
-                raise self._budget_unreachable(account, tokens)
-            await self._wait_for_sync(left)
+            if self._draws is not None and not self._allocator.holding:
+                await self._draws.obtain(account, tokens, deadline)
+            else:
+                await self._obtain(account, tokens, deadline)
+
+    def _require_obtainable(self, account: str, tokens: int) -> None:
+        """
+        Check that this VM may give tokens of an account to others.
+
+        :raises BudgetExhaustedError: if the budget can't cover the tokens.
+        :raises BudgetUnreachableError: if this VM holds no grants.
+        """
+        if not self._allocator.holding:
+            raise self._budget_unreachable(account, tokens)
+        if self._allocator.exhausted(account, tokens):
+            raise BudgetExhaustedError(f'less than {tokens} tokens left')
+
+    async def _obtain(self, account: str, tokens: int, deadline: float) -> None:
+        """
+        Try to raise this VM's grant, from other VMs or by a ledger write.
+
+        :raises BudgetExhaustedError: if the budget can't cover the tokens.
+        :raises BudgetUnreachableError: if they can't be obtained in time.
+        """
+        if self._allocator.exhausted(account, tokens):
+            raise BudgetExhaustedError(f'less than {tokens} tokens left')
+        if await self._request_from_peers(account, tokens):
+            return
+        left = deadline - self._clock.now()
+        if left <= 0 or self._write_cannot_help(account, tokens):
+            raise self._budget_unreachable(account, tokens)
+        await self._wait_for_sync(left)
 
     def notify_store_answered(self) -> None:
         """Write at once if the store, which just answered, was unreachable."""
@@ -167,6 +240,8 @@
 
     async def stop(self) -> None:
         """Release the granted tokens that open requests don't need."""
+        if self._draws is not None and not self._allocator.holding:
+            await self._draws.return_unused()
         self._allocator.begin_shutdown()
         await self._sync()
 
@@ -178,6 +253,10 @@
     @property
     def _write_needed(self) -> bool:
         """Whether there is anything to write."""
+        if not self._allocator.holding:
+            return (
+                self._allocator.has_ledger_entries or not self._store_reachable
+            )
         changed = (
             self._allocator.has_unrecorded_tokens
             or self._allocator.has_shortage
@@ -186,8 +265,7 @@
 
     async def _request_from_peers(self, account: str, tokens: int) -> bool:
         """Request missing tokens from other VMs; return if they suffice."""
-        addresses = self._allocator.peers_by_grant(account)
-        for address in addresses[:MAX_PEERS_ASKED]:
+        for address in self._peers_to_ask(account)[:MAX_PEERS_ASKED]:
             missing = tokens - self._allocator.available(account)
             if missing <= 0:
                 break
@@ -198,6 +276,18 @@
                 self._allocator.transfer_in(account, transferred)
         return self._allocator.available(account) >= tokens
 
+    def _peers_to_ask(self, account: str) -> list[str]:
+        """
+        Return addresses of VMs that may hold a grant.
+
+        A holder that had nothing to write since it started knows only the
+        holders that wrote before it.
+        """
+        addresses = self._allocator.peers_by_grant(account)
+        if self._draws is not None:
+            addresses += self._draws.holder_addresses(account)
+        return list(dict.fromkeys(addresses))
+
     def _write_cannot_help(self, account: str, tokens: int) -> bool:
         """Return whether a ledger write now can't provide the tokens."""
         if not self._store_reachable or self._write_stalled:
@@ -249,6 +339,7 @@
         """Record the time of a write, or schedule another attempt."""
         if written:
             self._last_synced_at = self._clock.now()
+            self._granted = self._granted or self._allocator.has_grants
         else:
             self._log.warning('ledger_contended', writes=MAX_WRITE_ATTEMPTS)
             self.request_write()
@@ -261,6 +352,8 @@
         :raises StoreUnavailableError: if the store doesn't answer.
         """
         item = await self._store.read(LEDGER_KEY)
+        if not self._must_write(item):
+            return True
         for _ in range(MAX_WRITE_ATTEMPTS):
             current = await self._compare_and_swap(item)
             if current is None:
@@ -268,6 +361,14 @@
             item = current
         return False
 
+    def _must_write(self, item: Item) -> bool:
+        """Return whether this VM has anything to change in the record."""
+        if self._allocator.holding:
+            return True
+        ledger = decode_ledger(item.value or b'')
+        self._allocator.apply_record(ledger, item.revision)
+        return self._allocator.has_ledger_entries
+
     async def _compare_and_swap(self, item: Item) -> Item | None:
         """Write once; return the current record if the write conflicted."""
         ledger = decode_ledger(item.value or b'')
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -46,6 +46,8 @@
 # While draining, a connection is closed only after this idle time, since a
 # request may already be in transit.
 MIN_IDLE_BEFORE_CLOSE_S = 0.3
+# Time limit of giving up the slot of a holder.
+RESIGNATION_TIMEOUT_S = 0.2
 # Time limit of the last write to the ledger.
 FINAL_LEDGER_WRITE_TIMEOUT_S = 0.4
 
@@ -98,6 +100,7 @@
         synchronized = (
             self._shared.configuration is not None
             and self._components.target_feed.listed
+            and self._shared.prepaid_tokens.ready
         )
         return synchronized and not self._stopping.is_set()
 
@@ -172,6 +175,11 @@
                 self._components.target_feed.apply_changes,
             ),
             self._shared.prepaid_tokens.run(),
+            self._components.election.watch(),
+            self._components.election.run(
+                self._shared.prepaid_tokens.set_holding
+            ),
+            self._components.token_draws.run(),
             self._components.clock_check.run(),
             self._run_periodic_work(),
         )
@@ -293,6 +301,7 @@
             self._clock.now() + self._settings.bounds.grace_s - KILL_MARGIN_S
         )
         self._callers.stopping = True
+        await self._resign()
         await asyncio.sleep(ACCEPT_WHILE_STOPPING_S)
         self._refusing = True
         while self._callers.busy and self._clock.now() < drain_deadline:
@@ -303,6 +312,12 @@
             async with asyncio.timeout(FINAL_LEDGER_WRITE_TIMEOUT_S):
                 await self._shared.prepaid_tokens.stop()
 
+    async def _resign(self) -> None:
+        """Give up the slot of a holder, unless the store doesn't answer."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RESIGNATION_TIMEOUT_S):
+                await self._components.election.resign()
+
 
 def _answer_error(caller: CallerConnection, error: FuchsiaforkError) -> None:
     """Send an error to a caller whose request was not admitted."""
--- a/fuchsiafork/platform/settings.py
+++ b/fuchsiafork/platform/settings.py
@@ -52,6 +52,16 @@
     address: str
 
 
+class VmLimits(_Section):
+    """
+    Resources of the VM.
+
+    :ivar link_mbps: bandwidth of its network link, None if unknown.
+    """
+
+    link_mbps: float | None = pydantic.Field(None, alias='linkMbps')
+
+
 class VmSettings(_Section):
     """
     Settings of a gateway process.
@@ -70,6 +80,7 @@
     listen: Listen
     store: StoreSection = pydantic.Field(alias='platform')
     bounds: Bounds = Bounds.model_validate({})
+    limits: VmLimits = VmLimits.model_validate({})
 
     @property
     def metrics_address(self) -> str:
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -169,11 +169,13 @@
         revision: int,
         value: bytes,
         extra_values: dict[str, bytes] | None = None,
+        lease: int = 0,
     ) -> Swap:
         """
         Write a value if the key still has the expected revision.
 
         :param extra_values: values of other keys, written atomically with it.
+        :param lease: lease with which the keys are removed, 0 for none.
 
         :raises StoreOutcomeUnknownError: if the write may have been made.
         :raises StoreUnavailableError: if the write was not made.
@@ -185,7 +187,7 @@
                 {
                     'key': name,
                     'value': base64.b64encode(text).decode(),
-                    'lease': 0,
+                    'lease': lease,
                 }
                 for name, text in values.items()
             ],
@@ -198,6 +200,37 @@
         _check_status(answer, _OK)
         return Swap(int(answer.body['revision']))
 
+    async def grant_lease(self, ttl_s: float) -> int:
+        """
+        Return a new lease.
+
+        :raises StoreUnavailableError: if the store doesn't answer.
+        """
+        body = {'ttlMs': int(ttl_s * _MS_PER_S)}
+        answer = await self._call('POST', '/api/kv-lease', 'lease', body)
+        _check_status(answer, _OK)
+        return int(answer.body['lease'])
+
+    async def keep_lease(self, lease: int) -> bool:
+        """
+        Renew a lease; return False if it has ended.
+
+        :raises StoreUnavailableError: if the store doesn't answer.
+        """
+        answer = await self._call('POST', f'/api/kv-keep/{lease}', 'lease')
+        if answer.status == _NOT_FOUND:
+            return False
+        _check_status(answer, _OK)
+        return True
+
+    async def end_lease(self, lease: int) -> None:
+        """
+        End a lease and remove its keys.
+
+        :raises StoreUnavailableError: if the store doesn't answer.
+        """
+        await self._call('DELETE', f'/api/kv-lease-end/{lease}', 'lease')
+
     async def _list_page(self, prefix: str, after: str) -> Any:
         """Return one page of a listing, starting after a key."""
         fields = {'prefix': prefix}
--- a/fuchsiafork/prepaid/__init__.py
+++ b/fuchsiafork/prepaid/__init__.py
@@ -8,6 +8,7 @@
 from fuchsiafork.prepaid.allocator import TokenAllocator
 from fuchsiafork.prepaid.changes import LedgerChange, Reservation
 from fuchsiafork.prepaid.fleet_time import FleetTime
+from fuchsiafork.prepaid.holder_slots import HolderSlots, Occupant
 from fuchsiafork.prepaid.ledger import (
     AccountEntry,
     Ledger,
@@ -19,8 +20,10 @@
 __all__ = (
     'AccountEntry',
     'FleetTime',
+    'HolderSlots',
     'Ledger',
     'LedgerChange',
+    'Occupant',
     'Reservation',
     'RetiredHolder',
     'TokenAllocator',
--- a/fuchsiafork/prepaid/allocator.py
+++ b/fuchsiafork/prepaid/allocator.py
@@ -85,10 +85,39 @@
         self._write_number = 0
         self._last_write_at = clock.now()
         self._stopping = False
+        self._holding = True
         self._demand_history_s = 0.0
         self._last_ledger: Ledger | None = None
         self._prepaid: dict[str, int] = {}
 
+    @property
+    def holding(self) -> bool:
+        """Whether this process holds grants beyond its open reservations."""
+        return self._holding and not self._stopping
+
+    @holding.setter
+    def holding(self, holding: bool) -> None:
+        self._holding = holding
+
+    @property
+    def has_grants(self) -> bool:
+        """Whether the ledger has a share of this process in each account."""
+        ledger = self._last_ledger
+        return ledger is not None and all(
+            self._holder in ledger.entry(account).shares
+            for account in self._prepaid
+        )
+
+    @property
+    def has_ledger_entries(self) -> bool:
+        """Whether the ledger holds tokens for processes of this VM."""
+        if self._unconfirmed or any(
+            state.share.grant for state in self._states.values()
+        ):
+            return True
+        ledger = self._last_ledger
+        return ledger is not None and bool(ledger.predecessors(self._holder))
+
     @property
     def accounts(self) -> tuple[str, ...]:
         """Accounts that have a budget."""
@@ -207,6 +236,17 @@
         """Add tokens transferred from another VM."""
         self._states.setdefault(account, _AccountState()).used -= tokens
 
+    def take_unused(self) -> dict[str, int]:
+        """Remove all available tokens and return them by account."""
+        unused = {
+            account: self.available(account)
+            for account in self._states
+            if self.available(account) > 0
+        }
+        for account, tokens in unused.items():
+            self._states[account].used += tokens
+        return unused
+
     def peers_by_grant(self, account: str) -> list[str]:
         """Return addresses of VMs with a grant, the largest grant first."""
         if self._last_ledger is None:
@@ -373,18 +413,18 @@
         """Settle the used tokens of one account and size its new grant."""
         state = self._states.setdefault(account, _AccountState())
         entry.spent += state.used
-        demand = 0 if self._stopping else math.ceil(state.demand)
+        demand = math.ceil(state.demand) if self.holding else 0
         share = Share(state.share.grant - state.used, demand=demand)
         entry.shares[self._holder] = share
         need = TokenNeed(state.reserved, state.shortage)
         state.shortage = 0
-        if self._stopping:
-            share.grant = share.burst = need.reserved
-        else:
+        if self.holding:
             sizer = GrantSizer(
                 entry, self._prepaid[account], self._holder, live_holders
             )
             share.grant = sizer.grant(need)
             share.burst = sizer.burst(need)
             share.rate = sizer.rate()
+        else:
+            share.grant = share.burst = need.reserved
         return AccountChange(state.used, dataclasses.replace(share))
--- a/fuchsiafork/prepaid/holder_slots.py
+++ b/fuchsiafork/prepaid/holder_slots.py
@@ -50,6 +50,9 @@
         self._vm = vm
         self._domain = domain
         self._occupied: dict[tuple[str, int], Slot] = {}
+        # Last occupants of vacant slots. Leases may lapse while the store is
+        # down, and these VMs still have their grants.
+        self._former: dict[tuple[str, int], Slot] = {}
 
     @property
     def own_slot(self) -> Slot | None:
@@ -72,17 +75,9 @@
             if (self._domain, number) not in self._occupied
         ]
 
-    @property
-    def addresses(self) -> list[str]:
-        """Addresses of the occupants, without this VM."""
-        return [
-            slot.occupant.address
-            for slot in self._occupied.values()
-            if slot.occupant and slot.occupant.vm != self._vm
-        ]
-
     def replace(self, slots: Iterable[Slot]) -> None:
         """Replace all slots by a complete listing."""
+        self._former.update(self._occupied)
         self._occupied.clear()
         for slot in slots:
             self.update(slot)
@@ -90,10 +85,11 @@
     def update(self, slot: Slot) -> None:
         """Set the occupant of one slot, or mark it as vacant."""
         place = (slot.domain, slot.number)
-        if slot.occupant is None:
-            self._occupied.pop(place, None)
-        else:
+        if slot.occupant is not None:
             self._occupied[place] = slot
+            self._former.pop(place, None)
+        elif place in self._occupied:
+            self._former[place] = self._occupied.pop(place)
 
     def addresses_for(self, key: str) -> list[str]:
         """
@@ -102,14 +98,15 @@
         All VMs of a failure domain prefer the same occupant for a key, so that
         the tokens of an account aren't spread over more grants than needed.
         """
-        occupants = [
-            (slot.domain != self._domain, slot.occupant)
-            for slot in self._occupied.values()
+        slots = (*self._former.values(), *self._occupied.values())
+        by_vm = {
+            slot.occupant.vm: slot
+            for slot in slots
             if slot.occupant and slot.occupant.vm != self._vm
-        ]
-        order = rank(key, [occupant.vm for _, occupant in occupants])
-        occupants.sort(key=lambda pair: (pair[0], order.index(pair[1].vm)))
-        return [occupant.address for _, occupant in occupants]
+        }
+        ranked = [by_vm[vm] for vm in rank(key, by_vm)]
+        ranked.sort(key=lambda slot: slot.domain != self._domain)
+        return [slot.occupant.address for slot in ranked if slot.occupant]
 
 
 __all__ = ('SLOTS_PER_DOMAIN', 'HolderSlots', 'Occupant', 'Slot')
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -150,6 +150,15 @@
         """Return the entry of an account, created if missing."""
         return self.accounts.setdefault(account, AccountEntry())
 
+    def predecessors(self, holder: str) -> list[str]:
+        """Return the other processes of a holder's VM."""
+        vm = _vm_name(holder)
+        return [
+            name
+            for name in self.holders
+            if name != holder and _vm_name(name) == vm
+        ]
+
     def retire_predecessors(
         self,
         successor: str,
@@ -168,10 +177,7 @@
         :return: the removed predecessors.
         """
         retired = []
-        vm = _vm_name(successor)
-        for name in tuple(self.holders):
-            if name == successor or _vm_name(name) != vm:
-                continue
+        for name in self.predecessors(successor):
             written_at = self.holders[name].written_at
             if defer_uncertain and not _clocks_agree(written_at, started_at):
                 continue
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -16,6 +16,8 @@
 
 _MS_PER_S = 1000
 _RATE_WINDOW_S = 1.0
+# Time between two checks for expired leases while a watch waits.
+_EXPIRY_INTERVAL_S = 0.2
 
 
 class StoreFault(enum.Enum):
@@ -255,7 +257,9 @@
         while not events and self._clock.now() < deadline:
             if after < self.content.compact_revision:
                 return 410, {}
-            await self._wait_for_change(deadline - self._clock.now())
+            left = deadline - self._clock.now()
+            await self._wait_for_change(min(left, _EXPIRY_INTERVAL_S))
+            self.content.expire()
             events = self.content.changes(query['prefix'], after)
         return 200, {
             'events': [_render(item) for item in events],
--- a/tests/test_gateway_control_traffic.py
+++ b/tests/test_gateway_control_traffic.py
@@ -15,7 +15,7 @@
         """Start without traffic."""
         self.log = mock.Mock()
         self.metrics = GatewayMetrics()
-        self.traffic = ControlTraffic(self.metrics.control_bytes, self.log)
+        self.traffic = ControlTraffic(self.metrics.control_bytes, 0.0, self.log)
 
     def test_line_names_the_bytes_of_each_purpose(self) -> None:
         """Guards against a full link whose cause the log doesn't show."""
