List the newest configuration when changes outrun a link

Cause: a watch returns each value since the last call. A document with 1,300 added routes takes about half a second on a narrow link; while one is received, further ones are written, and each batch is larger than the one before: the log of front-delta-a-3 shows versions 18, 20, 29, 39 and 50, one batch each, up to 6.5 s apart. It was the same after a loss of the connection, where it had been mended by listing.

Change: after a value that took over 0.1 s to receive, the watcher lists the items until a listing shows nothing newer, with a pause that leaves the link to requests. Other prefixes are watched as before.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -107,7 +107,7 @@
             names.OPERATOR_PREFIX,
             store,
             dependencies,
-            relist_after_loss=True,
+            newest_only=True,
         ),
         target_watcher=target_watcher,
         target_feed=TargetFeed(shared.targets, target_watcher, clock, log),
@@ -194,7 +194,7 @@
     store: PlatformStore,
     dependencies: _Dependencies,
     *,
-    relist_after_loss: bool = False,
+    newest_only: bool = False,
 ) -> Watcher:
     """Return a watcher of the items under a prefix."""
     return Watcher(
@@ -203,7 +203,7 @@
         dependencies.clock,
         dependencies.rng,
         dependencies.log,
-        relist_after_loss=relist_after_loss,
+        newest_only=newest_only,
     )
 
 
--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -13,6 +13,11 @@
 WATCH_WAIT_S = 15.0
 # Mean delay between two calls while the store doesn't answer.
 RETRY_DELAY_S = 0.3
+# Values that are received for longer than this could pile up on the link if
+# each change of them were followed.
+SLOW_TRANSFER_S = 0.1
+# Time before they are listed again, which leaves the link to requests.
+RELIST_PAUSE_S = 0.3
 
 
 class Watcher:
@@ -33,16 +38,17 @@
         rng: random.Random,
         log: Any,
         *,
-        relist_after_loss: bool = False,
+        newest_only: bool = False,
     ) -> None:
         """
         Prepare to watch a prefix.
 
-        :param relist_after_loss: whether to list all items again after the
-            connection was lost, in place of all changes meanwhile; for large
-            items of which only the newest matters.
+        :param newest_only: whether only the newest value of an item matters.
+            A watch returns each value meanwhile, so that the items are listed
+            instead after the connection was lost, and after a change that
+            took long to receive until a listing shows no newer one.
         """
-        self._relist_after_loss = relist_after_loss
+        self._newest_only = newest_only
         self.connected = False
         self.connection_changed_at = clock.now()
         self.last_contact_at = clock.now()
@@ -52,6 +58,7 @@
         self._rng = rng
         self._log = log
         self._revision = 0
+        self._newest_item = 0
 
     async def run(
         self,
@@ -68,13 +75,15 @@
                 self._log.info('history_gone', prefix=self._prefix)
             except StoreUnavailableError as error:
                 self._set_connected(connected=False, reason=str(error))
-                listed = listed and not self._relist_after_loss
+                listed = listed and not self._newest_only
                 await asyncio.sleep(RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
             else:
                 self._set_connected(connected=True)
                 callback = on_changes if listed else on_listing
                 callback(changes)
-                listed = True
+                listed = not (self._newest_only and self._falls_behind(changes))
+                if not listed:
+                    await asyncio.sleep(RELIST_PAUSE_S)
 
     async def _fetch(self, *, listed: bool) -> Changes:
         """Return all items, or the changes since the last call if listed."""
@@ -93,6 +102,13 @@
         self.last_contact_at = self._clock.now()
         return changes
 
+    def _falls_behind(self, changes: Changes) -> bool:
+        """Return whether further changes may have arrived during a call."""
+        newest = max((item.revision for item in changes.items), default=0)
+        changed = newest > self._newest_item
+        self._newest_item = max(self._newest_item, newest)
+        return changed and changes.transfer_s > SLOW_TRANSFER_S
+
     def _set_connected(self, *, connected: bool, reason: str = '') -> None:
         """Set the connection state; log and time its changes."""
         if connected != self.connected:
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -60,10 +60,12 @@
     Items of a listing, or the changes of a watch in order.
 
     :ivar revision: store revision after which a watch continues.
+    :ivar transfer_s: seconds for which the values were received.
     """
 
     items: tuple[Item, ...]
     revision: int
+    transfer_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,13 +132,16 @@
         """
         items: list[Item] = []
         revision = 0
+        transfer_s = 0.0
         after = ''
         while True:
-            page = await self._list_page(prefix, after)
+            answer = await self._list_page(prefix, after)
+            transfer_s += answer.transfer_s
+            page = answer.body
             items.extend(_parse_item(item) for item in page['items'])
             revision = revision or int(page['storeRevision'])
             if not page['hasMore'] or not items:
-                return Changes(tuple(items), revision)
+                return Changes(tuple(items), revision, transfer_s)
             after = items[-1].key
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
@@ -161,7 +166,8 @@
             raise HistoryGoneError(prefix)
         _check_status(answer, _OK)
         items = tuple(_parse_item(item) for item in answer.body['events'])
-        return Changes(items, int(answer.body['storeRevision']))
+        revision = int(answer.body['storeRevision'])
+        return Changes(items, revision, answer.transfer_s)
 
     async def swap(
         self,
@@ -231,7 +237,7 @@
         """
         await self._call('DELETE', f'/api/kv-lease-end/{lease}', 'lease')
 
-    async def _list_page(self, prefix: str, after: str) -> Any:
+    async def _list_page(self, prefix: str, after: str) -> JsonAnswer:
         """Return one page of a listing, starting after a key."""
         fields = {'prefix': prefix}
         if after:
@@ -239,7 +245,7 @@
         query = urllib.parse.urlencode(fields)
         answer = await self._call('GET', f'/api/kv-range?{query}', prefix)
         _check_status(answer, _OK)
-        return answer.body
+        return answer
 
     async def _call(
         self,
--- a/fuchsiafork/transport/json_call.py
+++ b/fuchsiafork/transport/json_call.py
@@ -44,12 +44,14 @@
     :ivar body: decoded value, an empty dict if there is no body.
     :ivar sent_bytes: size of the call's body.
     :ivar received_bytes: size of the answer's body.
+    :ivar transfer_s: seconds from the head of the answer to its end.
     """
 
     status: int
     body: Any
     sent_bytes: int = 0
     received_bytes: int = 0
+    transfer_s: float = 0.0
 
 
 def ignore_bytes(purpose: str, sent: int, received: int) -> None:
@@ -101,6 +103,8 @@
     head = await connection.next_event()
     while isinstance(head, h11.InformationalResponse):
         head = await connection.next_event()
+    loop = asyncio.get_running_loop()
+    head_at = loop.time()
     content = bytearray()
     event = await connection.next_event()
     while isinstance(event, h11.Data):
@@ -114,6 +118,7 @@
         json.loads(content) if content else {},
         len(payload),
         len(content),
+        loop.time() - head_at,
     )
 
 
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -6,13 +6,14 @@
 from typing import cast
 from unittest import mock
 
-from fuchsiafork.gateway.watcher import Watcher
+from fuchsiafork.gateway.watcher import SLOW_TRANSFER_S, Watcher
 from fuchsiafork.kernel import SystemClock
 from fuchsiafork.kernel.errors import StoreUnavailableError
 from fuchsiafork.platform.store import Changes, Item, PlatformStore
 from fuchsiafork.transport.client_connection import BrokenAnswerError
 from fuchsiafork.transport.json_call import JsonCall, call_json
 from fuchsiafork.transport.pool import ConnectionPool
+from standins.platform_site import wait_until
 
 TIMEOUT_S = 0.3
 CHUNKS = 8
@@ -72,9 +73,7 @@
 class TestReconnection(unittest.IsolatedAsyncioTestCase):
     """Calls of a watcher once the store answers again."""
 
-    async def calls_around_failure(
-        self, *, relist_after_loss: bool
-    ) -> list[str]:
+    async def calls_around_failure(self, *, newest_only: bool) -> list[str]:
         """Return the first four calls; the second one, a watch, fails."""
         store = mock.Mock(spec=PlatformStore)
         calls = []
@@ -100,7 +99,7 @@
             SystemClock(),
             random.Random(1),
             mock.Mock(),
-            relist_after_loss=relist_after_loss,
+            newest_only=newest_only,
         )
         task = asyncio.create_task(watcher.run(mock.Mock(), mock.Mock()))
         await asyncio.wait_for(finished.wait(), 5)
@@ -111,12 +110,64 @@
         """Guards against fetching a backlog of documents over a slow link."""
         expected = ['list', 'watch 7', 'list', 'watch 7']
         self.assertEqual(
-            await self.calls_around_failure(relist_after_loss=True), expected
+            await self.calls_around_failure(newest_only=True), expected
         )
 
     async def test_all_changes_are_fetched(self) -> None:
         """Guards against missing deletions of entries."""
         expected = ['list', 'watch 7', 'watch 7', 'watch 7']
         self.assertEqual(
-            await self.calls_around_failure(relist_after_loss=False), expected
+            await self.calls_around_failure(newest_only=False), expected
         )
+
+
+class _Storm:
+    """Store with one item that changes while its values are transferred."""
+
+    def __init__(self, versions: int, versions_per_transfer: int) -> None:
+        self.revision = 1
+        self.delivered = 0
+        self.largest_answer = 0
+        self._versions = versions
+        self._versions_per_transfer = versions_per_transfer
+
+    async def list_items(self, prefix: str) -> Changes:
+        """Return the newest value."""
+        await asyncio.sleep(0)
+        return self._answer([self.revision])
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return each value after a revision."""
+        await asyncio.sleep(0.01)
+        return self._answer(list(range(after + 1, self.revision + 1)))
+
+    def _answer(self, revisions: list[int]) -> Changes:
+        """Return values, and change the item while they are transferred."""
+        self.largest_answer = max(self.largest_answer, len(revisions))
+        self.delivered = max([self.delivered, *revisions])
+        answered_at = self.revision
+        changes = self._versions_per_transfer * len(revisions)
+        self.revision = min(self._versions, self.revision + changes)
+        items = tuple(Item('op/config', n, b'{}') for n in revisions)
+        return Changes(items, answered_at, SLOW_TRANSFER_S * 2 * len(items))
+
+
+class TestStorm(unittest.IsolatedAsyncioTestCase):
+    """Large documents that change faster than a narrow link carries them."""
+
+    async def test_backlog_of_documents_does_not_grow(self) -> None:
+        """Guards against a route that is served late after many changes."""
+        storm = _Storm(versions=40, versions_per_transfer=4)
+        watcher = Watcher(
+            'op/',
+            cast(PlatformStore, storm),
+            SystemClock(),
+            random.Random(1),
+            mock.Mock(),
+            newest_only=True,
+        )
+        task = asyncio.create_task(watcher.run(mock.Mock(), mock.Mock()))
+        with mock.patch('fuchsiafork.gateway.watcher.RELIST_PAUSE_S', 0):
+            await wait_until(lambda: storm.delivered == storm.revision == 40)
+        task.cancel()
+        self.assertEqual(storm.largest_answer, 1)
