Send a request whose kept connection broke to the same target again

Cause: a kept connection that ends without an answer may have rested too long, so it wasn't counted among the targets tried, and another target was chosen. But the first one may have run the request and lost its answer, and so may the next: only the retry budget bounded the targets of one request.

Change: the request goes to the same target on a new connection, after which the usual count applies. The number of targets stays within the route's bound, and a connection that only rested too long costs one more send as before.

test_unanswered_requests_reach_no_more_targets_than_allowed reached 3 targets before; it needs kept connections to four targets that all run and don't answer.

--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -30,6 +30,9 @@
         self._shared = shared
         self._tried_ids: list[str] = []
         self._unreached_ids: set[str] = set()
+        # Target whose kept connection ended without an answer. It may have run
+        # the request, so that the request is sent there once more.
+        self._unanswered_state: TargetState | None = None
         # One sample for all attempts, so that a rollout assigns them to one
         # version.
         self._version_sample = shared.rng.random()
@@ -117,6 +120,9 @@
 
     def _select_target(self) -> TargetState | None:
         """Return the target for the next attempt, None if there is none."""
+        unanswered, self._unanswered_state = self._unanswered_state, None
+        if unanswered is not None:
+            return unanswered
         shared = self._shared
         service = self._record.service
         criteria = SelectionCriteria(
@@ -145,10 +151,13 @@
         self._log_failure(state, failure)
         now = self._shared.clock.now()
         target = state.target
-        if failure.possibly_sent and not failure.stale_connection:
-            self._tried_ids.append(target.target_id)
-        elif not failure.possibly_sent:
+        if not failure.possibly_sent:
             self._unreached_ids.add(target.target_id)
+        elif failure.stale_connection:
+            self._unanswered_state = state
+            self._shared.pool.drop(target.address)
+        else:
+            self._tried_ids.append(target.target_id)
         if failure.unreachable and not failure.stale_connection:
             state.back_off(now)
             self._shared.pool.drop(target.address)
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -29,6 +29,7 @@
     :ivar truncate_in_event: abort in the middle of an event.
     :ivar crossed_answer_first: send the answer to another request first.
     :ivar omit_seal: leave out the header with the MAC.
+    :ivar no_answer: run the request and abort the connection.
     :ivar raw_response: bytes to send in place of any answer.
     :ivar trailing_bytes: bytes to send after a complete answer.
     """
@@ -41,6 +42,7 @@
     truncate_in_event: bool = False
     crossed_answer_first: bool = False
     omit_seal: bool = False
+    no_answer: bool = False
     raw_response: bytes = b''
     trailing_bytes: bytes = b''
 
@@ -170,6 +172,9 @@
     ) -> None:
         """Send the answer of a run after its delay."""
         await asyncio.sleep(behaviour.delay_s)
+        if behaviour.no_answer:
+            caller.abort()
+            return
         if behaviour.raw_response:
             _write_raw(caller, behaviour.raw_response)
             caller.abort()
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -4,9 +4,14 @@
 import time
 
 from standins.platform_store import StoreFault
-from standins.platform_targets import Behaviour
+from standins.platform_targets import Behaviour, PlatformTarget
 from tests.gateway_case import VM, GatewayCase, make_configuration
 
+# Targets of both services at the start of a test.
+TARGETS = 4
+# Targets to which a lookup may be sent.
+MAX_TARGETS = 2
+
 
 def _events(first: int, last: int) -> bytes:
     """Return the given events in the form that an engine sends."""
@@ -55,6 +60,31 @@
         self.assertNotIn('x-response-seal', reply.headers)
         self.assertEqual(sum(len(target.runs) for target in self.plain), 1)
 
+    async def test_unanswered_requests_reach_no_more_targets_than_allowed(
+        self,
+    ) -> None:
+        """Guards against retries on kept connections that aren't counted."""
+        others = [PlatformTarget(f'p-{n}', 'plain', 'a') for n in (3, 4)]
+        for target in others:
+            await self.site.add_target(target)
+        self.plain += others
+        await self.eventually(
+            lambda: len(self.gateway._shared.targets) == TARGETS + len(others)
+        )
+        await asyncio.gather(
+            *(self.call('/look/1', request_id=f'first-{n}') for n in range(20))
+        )
+        for target in self.plain:
+            target.behaviour = Behaviour(no_answer=True)
+        await self.call('/look/1')
+        reached = {
+            target.target_id
+            for target in self.plain
+            for run in target.runs
+            if run.request_id == 'r-1'
+        }
+        self.assertLessEqual(len(reached), MAX_TARGETS)
+
     async def test_status_503_of_a_possibly_run_request_is_replaced(
         self,
     ) -> None:
