End an answer whose event or informational heads have no end

Found by a test of our own: an event stream whose event never ends was passed to the caller in parts, as a 200 without an event, until the route's time limit (115 MB in a test, at the caller); and informational answers without end kept the request until its time limit. Memory of the gateway was bounded in both.

An event over 64 KiB is a broken answer, as is a ninth informational answer: the request is refused, or resumed where its route allows it.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -6,7 +6,10 @@
 from typing import Any, TypeVar
 
 from fuchsiafork.gateway.configuration import Route
-from fuchsiafork.gateway.event_stream import EventStreamParser
+from fuchsiafork.gateway.event_stream import (
+    EventStreamParser,
+    OversizedEventError,
+)
 from fuchsiafork.gateway.target_call import AnswerHead, TargetCall
 from fuchsiafork.kernel import FuchsiaforkError
 from fuchsiafork.kernel.errors import (
@@ -213,7 +216,7 @@
         """
         chunk = await self._read_chunk(call)
         while chunk:
-            events = self._event_parser.feed(chunk)
+            events = self._parse_events(chunk)
             if events:
                 self._send_head(head)
                 self._caller.write(events)
@@ -224,6 +227,17 @@
         self._send_head(head)
         self._caller.finish()
 
+    def _parse_events(self, chunk: bytes) -> bytes:
+        """
+        Return the events that a chunk completes.
+
+        :raises BrokenAnswerError: if the bytes are no events.
+        """
+        try:
+            return self._event_parser.feed(chunk)
+        except OversizedEventError as error:
+            raise BrokenAnswerError(str(error)) from None
+
     async def _read_chunk(self, call: TargetCall) -> bytes:
         """Return the next bytes of a stream, empty at its end."""
         if not self._can_retry:
--- a/fuchsiafork/gateway/event_stream.py
+++ b/fuchsiafork/gateway/event_stream.py
@@ -8,6 +8,10 @@
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 
 
+class OversizedEventError(Exception):
+    """An event exceeds the size limit, or the bytes are no events."""
+
+
 class EventStreamParser:
     """
     Splits a stream into complete events and tracks the last one.
@@ -23,8 +27,14 @@
         self._splitter = EventSplitter()
 
     def feed(self, chunk: bytes) -> bytes:
-        """Return the events that a chunk completes."""
+        """
+        Return the events that a chunk completes.
+
+        :raises OversizedEventError: if no event ends within the size limit.
+        """
         events = self._splitter.feed(chunk)
+        if self._splitter.split:
+            raise OversizedEventError('an event exceeds the size limit')
         if events:
             self.event_count += len(_EVENT_END.findall(events))
             ids = _EVENT_ID.findall(events)
--- a/fuchsiafork/gateway/target_call.py
+++ b/fuchsiafork/gateway/target_call.py
@@ -1,6 +1,7 @@
 """One request sent to one target."""
 
 import dataclasses
+from typing import Any
 
 import h11
 
@@ -17,6 +18,8 @@
 # Number of answers read; if all of them are to other requests, the connection
 # is out of sync and is given up.
 MAX_MISMATCHED_ANSWERS = 3
+# Informational answers read before the head of an answer.
+MAX_INFORMATIONAL_ANSWERS = 8
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
 
@@ -127,9 +130,7 @@
         """
         connection = self._require_connection()
         for _ in range(MAX_MISMATCHED_ANSWERS):
-            event = await connection.next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await connection.next_event()
+            event = await _next_final_head(connection)
             self._answered = True
             self._first_byte_at = self._clock.now()
             pairs = wire.decode_headers(event.headers)
@@ -187,6 +188,19 @@
         connection.restart_answer()
 
 
+async def _next_final_head(connection: ClientConnection) -> Any:
+    """
+    Return the next head of an answer that is not informational.
+
+    :raises BrokenAnswerError: if there are too many informational ones.
+    """
+    for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
+        event = await connection.next_event()
+        if not isinstance(event, h11.InformationalResponse):
+            return event
+    raise BrokenAnswerError('too many informational answers')
+
+
 def _matches_request(head: AnswerHead, request_id: str) -> bool:
     """
     Return whether an answer belongs to the request.
