Skip a VM that holds no grants, and draw only what a request needs

A former holder whose last write had an unknown outcome drew 487,550 tokens for a request of 1,104: less than nothing was available, and the deficit was drawn too. VMs that don't answer are no longer asked beyond the time that the request may wait.

--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -39,6 +39,7 @@
 
 _OK = 200
 _BAD_REQUEST = 400
+_NOT_HOLDING = 409
 
 # Returns the tokens obtained for a client account within some seconds.
 Allot = Callable[[str, int, float], Coroutine[Any, Any, int]]
@@ -118,13 +119,16 @@
 
         :param wait_s: seconds that the holder may take to obtain more.
         :raises BudgetExhaustedError: if the budget can't cover them.
-        :raises PeerSilentError: if the holder doesn't answer.
+        :raises PeerSilentError: if the VM doesn't answer or is no holder.
         """
         answer = await self._call(
             address, DRAW_PATH, [account, tokens, wait_s], wait_s
         )
         if answer.status == _OK and isinstance(answer.body, int):
             return Draw(answer.body)
+        if answer.status == _NOT_HOLDING:
+            self._backoff_until[address] = self._clock.now() + BACKOFF_S
+            raise PeerSilentError(f'{address} holds no grants', sent=False)
         if answer.status == BudgetExhaustedError.status:
             raise BudgetExhaustedError(str(answer.body))
         return Draw(0, f'holder {address}: {answer.body}')
@@ -169,6 +173,9 @@
             wall = json.dumps(self._clock.wall())
             caller.answer(_OK, [], wall.encode())
             return
+        if request.target == DRAW_PATH and not self._allocator.holding:
+            caller.answer(_NOT_HOLDING, [], b'')
+            return
         try:
             answer = await self._handle_tokens(request)
         except (ValueError, TypeError, AttributeError) as error:
--- a/fuchsiafork/gateway/prepaid_tokens.py
+++ b/fuchsiafork/gateway/prepaid_tokens.py
@@ -109,6 +109,9 @@
             return
         self._log.info('holding_changed', holding=holding)
         self._allocator.holding = holding
+        if holding:
+            # The store has just stored the claim.
+            self._set_store_reachable(reachable=True, reason='slot claimed')
         self.request_write()
 
     @property
@@ -158,7 +161,8 @@
         """
         reservation = self._allocator.reserve(account, tokens)
         if reservation is None:
-            self._require_obtainable(account, tokens)
+            if self._allocator.exhausted(account, tokens):
+                raise _budget_exhausted(tokens)
             if not wait_s:
                 self._write_due.set()
                 raise self._budget_unreachable(account, tokens)
@@ -180,18 +184,6 @@
             else:
                 await self._obtain(account, tokens, deadline)
 
-    def _require_obtainable(self, account: str, tokens: int) -> None:
-        """
-        Check that this VM may give tokens of an account to others.
-
-        :raises BudgetExhaustedError: if the budget can't cover the tokens.
-        :raises BudgetUnreachableError: if this VM holds no grants.
-        """
-        if not self._allocator.holding:
-            raise self._budget_unreachable(account, tokens)
-        if self._allocator.exhausted(account, tokens):
-            raise BudgetExhaustedError(f'less than {tokens} tokens left')
-
     async def _obtain(self, account: str, tokens: int, deadline: float) -> None:
         """
         Try to raise this VM's grant, from other VMs or by a ledger write.
@@ -200,7 +192,7 @@
         :raises BudgetUnreachableError: if they can't be obtained in time.
         """
         if self._allocator.exhausted(account, tokens):
-            raise BudgetExhaustedError(f'less than {tokens} tokens left')
+            raise _budget_exhausted(tokens)
         if await self._request_from_peers(account, tokens):
             return
         left = deadline - self._clock.now()
@@ -432,3 +424,8 @@
             f'ledger {self.ledger_age_s:.1f} s old: {summary}',
             retry_after=RETRY_AFTER_S,
         )
+
+
+def _budget_exhausted(tokens: int) -> BudgetExhaustedError:
+    """Return the error for a request that the budget can't cover."""
+    return BudgetExhaustedError(f'less than {tokens} tokens left')
--- a/fuchsiafork/gateway/token_draws.py
+++ b/fuchsiafork/gateway/token_draws.py
@@ -55,7 +55,9 @@
         if not addresses and self._clock.now() < deadline:
             await asyncio.sleep(POLL_INTERVAL_S)
             return
-        answering = await self._draw_at_hand(addresses, account, tokens)
+        answering = await self._draw_at_hand(
+            addresses, account, tokens, deadline
+        )
         missing = self._missing(account, tokens)
         if missing <= 0:
             return
@@ -91,13 +93,18 @@
                 self._allocator.transfer_in(account, tokens)
 
     async def _draw_at_hand(
-        self, addresses: list[str], account: str, tokens: int
+        self,
+        addresses: list[str],
+        account: str,
+        tokens: int,
+        deadline: float,
     ) -> list[str]:
         """Draw what some holders have at hand; return those that answered."""
         answering: list[str] = []
         for address in addresses:
             missing = self._missing(account, tokens)
-            if missing <= 0 or len(answering) == MAX_HOLDERS_ASKED:
+            enough = missing <= 0 or len(answering) == MAX_HOLDERS_ASKED
+            if enough or self._clock.now() >= deadline:
                 break
             await self._draw(address, account, missing, 0)
             if not self._peers.is_silent(address):
@@ -117,8 +124,13 @@
         return draw.reason
 
     def _missing(self, account: str, tokens: int) -> int:
-        """Return how many of some tokens this VM lacks."""
-        return tokens - self._allocator.available(account)
+        """
+        Return how many of some tokens this VM lacks.
+
+        While the outcome of a ledger write is unknown, less than nothing may
+        be available, which no draw makes up for.
+        """
+        return tokens - max(0, self._allocator.available(account))
 
 
 __all__ = ('TokenDraws',)
