Collect changes of the store for a fifth of a second

A watcher now waits 0.2 s after a change, so that the first one is seen at once and those that follow share a call.

test_changes_in_succession_share_calls made 41 calls for 40 changes before.

--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -13,6 +13,9 @@
 WATCH_WAIT_S = 15.0
 # Mean delay between two calls while the store doesn't answer.
 RETRY_DELAY_S = 0.3
+# Time between a change and the next call, which collects further changes:
+# otherwise each change of one item costs one call of each VM.
+BATCH_INTERVAL_S = 0.2
 # Values that are received for longer than this could pile up on the link if
 # each change of them were followed.
 SLOW_TRANSFER_S = 0.1
@@ -82,8 +85,7 @@
                 callback = on_changes if listed else on_listing
                 callback(changes)
                 listed = not (self._newest_only and self._falls_behind(changes))
-                if not listed:
-                    await asyncio.sleep(RELIST_PAUSE_S)
+                await asyncio.sleep(self._pause_s(changes, listed=listed))
 
     async def _fetch(self, *, listed: bool) -> Changes:
         """Return all items, or the changes since the last call if listed."""
@@ -102,6 +104,12 @@
         self.last_contact_at = self._clock.now()
         return changes
 
+    def _pause_s(self, changes: Changes, *, listed: bool) -> float:
+        """Return the seconds until the next call."""
+        if not listed:
+            return RELIST_PAUSE_S
+        return BATCH_INTERVAL_S if changes.items else 0.0
+
     def _falls_behind(self, changes: Changes) -> bool:
         """Return whether further changes may have arrived during a call."""
         newest = max((item.revision for item in changes.items), default=0)
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -14,10 +14,12 @@
 from fuchsiafork.transport.json_call import JsonCall, call_json
 from fuchsiafork.transport.pool import ConnectionPool
 from standins.platform_site import wait_until
+from standins.platform_store import StoreContent
 
 TIMEOUT_S = 0.3
 CHUNKS = 8
 CHUNK_INTERVAL_S = 0.1
+STARTED_TARGETS = 40
 
 
 class _SlowServer:
@@ -171,3 +173,40 @@
             await wait_until(lambda: storm.delivered == storm.revision == 40)
         task.cancel()
         self.assertEqual(storm.largest_answer, 1)
+
+
+class TestBatches(unittest.IsolatedAsyncioTestCase):
+    """Many changes of different items in quick succession."""
+
+    async def test_changes_in_succession_share_calls(self) -> None:
+        """Guards against one call of each VM for each target that starts."""
+        content = StoreContent(SystemClock())
+        seen: list[Item] = []
+        calls = 0
+
+        async def watch(prefix: str, after: int, wait_s: float) -> Changes:
+            nonlocal calls
+            calls += 1
+            while not (found := content.changes(prefix, after)):
+                await asyncio.sleep(0.001)
+            items = tuple(Item(it.key, it.revision, b'{}') for it in found)
+            return Changes(items, content.revision)
+
+        store = mock.Mock(spec=PlatformStore, watch=watch)
+        store.list_items.return_value = Changes((), content.revision)
+        watcher = Watcher(
+            'servers/',
+            cast(PlatformStore, store),
+            SystemClock(),
+            random.Random(1),
+            mock.Mock(),
+        )
+        task = asyncio.create_task(
+            watcher.run(mock.Mock(), lambda changes: seen.extend(changes.items))
+        )
+        for number in range(STARTED_TARGETS):
+            content.put(f'servers/{number}', b'{}')
+            await asyncio.sleep(0.002)
+        await wait_until(lambda: len(seen) == STARTED_TARGETS)
+        task.cancel()
+        self.assertLess(calls, STARTED_TARGETS / 2)
