--- a/tests/test_gateway_large_fleet.py
+++ b/tests/test_gateway_large_fleet.py
@@ -1,8 +1,10 @@
 """Tests of budgets in a fleet that is larger than an account has prompts."""
 
 import asyncio
+import json
 import unittest
 
+from fuchsiafork.gateway.holder_election import SLOTS_PREFIX
 from fuchsiafork.gateway.prepaid_tokens import LEDGER_KEY
 from fuchsiafork.observability.logs import configure_logs
 from fuchsiafork.prepaid import Ledger, decode_ledger
@@ -54,6 +56,15 @@
         shares = self.ledger().entry('acme').shares
         return sum(share.grant for share in shares.values())
 
+    def occupants(self) -> list[str]:
+        """Return the VMs in the slots."""
+        content = self.site.store.content
+        return [
+            json.loads(content.get(key) or b'[""]')[0]
+            for key in content.items
+            if key.startswith(SLOTS_PREFIX)
+        ]
+
     async def ask(self, vm: str, prompt_tokens: int) -> Reply:
         """Send a prompt to a VM."""
         call = Call(
@@ -108,3 +119,15 @@
         survivor = next(vm for vm in VMS if vm not in holders)
         reply = await self.ask(survivor, 1000)
         self.assertEqual(reply.status, 200)
+
+    async def test_stopping_holder_gives_up_its_slot(self) -> None:
+        """Guards against draws from a VM that is about to end."""
+        holder = next(iter(self.ledger().holders)).partition('#')[0]
+        self.assertIn(holder, self.occupants())
+        await self.site.gateways[holder].stop()
+        await wait_until(
+            lambda: (
+                len(self.occupants()) == SLOTS_PER_DOMAIN
+                and holder not in self.occupants()
+            )
+        )
