Claim a slot anew after its lease has lapsed, and hold until then

It also stopped holding grants for the moment between the refused renewal and the new claim if all slots of its domain were taken, its own included, and an older deletion that came after its claim hid that claim from it.

A claim takes a lease of its own; a VM stops holding only when other VMs occupy all slots of its domain; a change older than the slot known is ignored, and no VM claims a second slot.

--- a/fuchsiafork/gateway/holder_election.py
+++ b/fuchsiafork/gateway/holder_election.py
@@ -90,9 +90,10 @@
         A holder whose lease has lapsed goes on until other VMs occupy all
         slots, so that an outage of the store leaves no domain without one.
         """
-        if self._lease and self._slots.own_slot:
+        own_slot = self._slots.own_slot
+        if self._lease and own_slot:
             self._holding = True
-        elif not self._slots.vacant_slots:
+        elif own_slot is None and not self._slots.vacant_slots:
             self._holding = False
         return self._holding
 
@@ -107,9 +108,14 @@
         elif self._slots.vacant_slots:
             delay = self._rng.uniform(0, MAX_CLAIM_DELAY_S)
             await asyncio.sleep(self._min_claim_delay_s + delay)
-            vacant = self._slots.vacant_slots
-            if vacant and not self._resigned:
-                await self._claim(self._rng.choice(vacant))
+            if not self._resigned:
+                await self._claim_vacant()
+
+    async def _claim_vacant(self) -> None:
+        """Claim a vacant slot unless this VM occupies one meanwhile."""
+        vacant = self._slots.vacant_slots
+        if vacant and self._slots.own_slot is None:
+            await self._claim(self._rng.choice(vacant))
 
     async def _renew(self) -> None:
         """Renew the lease; forget it if it has ended."""
@@ -120,15 +126,16 @@
 
     async def _claim(self, slot: Slot) -> None:
         """Write this VM into a slot unless another one was faster."""
-        lease = self._lease or await self._store.grant_lease(LEASE_TTL_S)
+        # An earlier lease may have lapsed with the slot that it held.
+        self._lease = 0
+        lease = await self._store.grant_lease(LEASE_TTL_S)
         key = f'{SLOTS_PREFIX}{slot.domain}/{slot.number}'
         value = json.dumps([self._occupant.vm, self._occupant.address])
         swap = await self._store.swap(
             key, slot.revision, value.encode(), lease=lease
         )
-        # A lease that lapsed meanwhile is noticed at its first renewal.
-        self._lease = lease
         if swap.revision:
+            self._lease = lease
             self._log.info('slot_claimed', domain=slot.domain, n=slot.number)
             self._slots.update(
                 Slot(slot.domain, slot.number, swap.revision, self._occupant)
--- a/fuchsiafork/prepaid/holder_slots.py
+++ b/fuchsiafork/prepaid/holder_slots.py
@@ -83,8 +83,11 @@
             self.update(slot)
 
     def update(self, slot: Slot) -> None:
-        """Set the occupant of one slot, or mark it as vacant."""
+        """Set the occupant of one slot, or mark it as vacant, unless newer."""
         place = (slot.domain, slot.number)
+        known = self._occupied.get(place)
+        if known is not None and known.revision > slot.revision:
+            return
         if slot.occupant is not None:
             self._occupied[place] = slot
             self._former.pop(place, None)
--- a/tests/test_gateway_large_fleet.py
+++ b/tests/test_gateway_large_fleet.py
@@ -14,7 +14,7 @@
 from standins.platform_site import PlatformSite, wait_until
 from standins.platform_store import StoreFault
 from standins.platform_targets import PlatformTarget
-from tests.gateway_case import KEY, make_configuration
+from tests.gateway_case import KEY, GatewayCase, make_configuration
 
 VMS = tuple(f'a-{number}' for number in range(1, 13))
 PREPAID = 100_000
@@ -26,6 +26,25 @@
 SLOT_CLAIMED_S = 8.0
 
 
+class TestLapsedLease(GatewayCase):
+    """One VM whose lease ended while the store was down."""
+
+    async def test_slot_is_claimed_again_after_its_lease_lapsed(self) -> None:
+        """Guards against claims under a lease that has ended."""
+        content = self.store.content
+
+        def occupied() -> bool:
+            return any(key.startswith(SLOTS_PREFIX) for key in content.items)
+
+        await self.eventually(occupied)
+        for lease in content.leases.values():
+            lease.expires_at = 0
+        content.expire()
+        self.assertFalse(occupied())
+        self.store.notify_watchers()
+        await self.eventually(occupied)
+
+
 class TestLargeFleet(unittest.IsolatedAsyncioTestCase):
     """Twelve VMs in one failure domain and one account."""
 
