Cancel a draw whose answer was lost

A draw that a holder gave, but whose answer came too late or was lost, stayed counted as spent until the end of the budget. It is the fault that transfers between holders have had since they came in; draws made it frequent.

A draw has an id. The VM that got no answer cancels it by that id within some seconds, also if its caller left; the holder takes the tokens back once, and refuses a draw that arrives after its cancellation. Draws wait 0.3 s in place of 0.15 s, and a holder that didn't answer is asked again after 0.5 s.

A former holder whose last write has an unknown outcome refuses at once, since no draw makes up for a deficit.

--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -1,7 +1,9 @@
 """Token and clock requests between the VMs of the fleet."""
 
+import asyncio
 import dataclasses
 import json
+import secrets
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -11,6 +13,7 @@
     FuchsiaforkError,
 )
 from fuchsiafork.prepaid import TokenAllocator
+from fuchsiafork.prepaid.draw_records import RECORD_TTL_S, DrawRecords
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
 from fuchsiafork.transport.client_connection import (
     BrokenAnswerError,
@@ -28,12 +31,16 @@
 TOKENS_PATH = '/tokens'
 DRAW_PATH = '/tokens/draw'
 RETURN_PATH = '/tokens/return'
+CANCEL_PATH = '/tokens/cancel'
 CLOCK_PATH = '/clock'
 # A VM that takes longer to answer a token request is skipped: a longer wait
 # isn't worthwhile.
 TOKENS_TIMEOUT_S = 0.15
+# The same for a draw, without which the request can't be served.
+DRAW_TIMEOUT_S = 0.3
 # How long a VM that didn't answer is not asked again.
 BACKOFF_S = 2.0
+DRAW_BACKOFF_S = 0.5
 # A longer round trip makes the clock measurement too inaccurate.
 CLOCK_TIMEOUT_S = 0.1
 
@@ -45,6 +52,22 @@
 Allot = Callable[[str, int, float], Coroutine[Any, Any, int]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CallLimits:
+    """
+    Limits of one call.
+
+    :ivar timeout_s: seconds until the answer.
+    :ivar backoff_s: seconds for which a VM that didn't answer is not asked.
+    """
+
+    timeout_s: float = TOKENS_TIMEOUT_S
+    backoff_s: float = BACKOFF_S
+
+
+_DEFAULT_LIMITS = _CallLimits()
+
+
 class PeerSilentError(Exception):
     """
     Another VM didn't answer.
@@ -90,6 +113,9 @@
         self._backoff_until: dict[str, float] = {}
         self._log = log
         self._allot: Allot | None = None
+        self._draw_records = DrawRecords(clock)
+        # Draws without an answer, by address: they may have been given.
+        self._unanswered: dict[str, dict[str, float]] = {}
 
     def set_allot(self, allot: Allot) -> None:
         """Set the function that obtains tokens for VMs without grants."""
@@ -121,18 +147,47 @@
         :raises BudgetExhaustedError: if the budget can't cover them.
         :raises PeerSilentError: if the VM doesn't answer or is no holder.
         """
-        answer = await self._call(
-            address, DRAW_PATH, [account, tokens, wait_s], wait_s
-        )
+        draw_id = secrets.token_hex(8)
+        limits = _CallLimits(DRAW_TIMEOUT_S + wait_s, DRAW_BACKOFF_S)
+        try:
+            answer = await self._call(
+                address, DRAW_PATH, [account, tokens, wait_s, draw_id], limits
+            )
+        except PeerSilentError as error:
+            if error.sent:
+                self._note_unanswered(address, draw_id)
+            raise
+        except asyncio.CancelledError:
+            self._note_unanswered(address, draw_id)
+            raise
         if answer.status == _OK and isinstance(answer.body, int):
             return Draw(answer.body)
         if answer.status == _NOT_HOLDING:
-            self._backoff_until[address] = self._clock.now() + BACKOFF_S
+            self._backoff_until[address] = self._clock.now() + DRAW_BACKOFF_S
             raise PeerSilentError(f'{address} holds no grants', sent=False)
         if answer.status == BudgetExhaustedError.status:
             raise BudgetExhaustedError(str(answer.body))
         return Draw(0, f'holder {address}: {answer.body}')
 
+    def _note_unanswered(self, address: str, draw_id: str) -> None:
+        """Keep a draw that may have been given, to be cancelled."""
+        unanswered = self._unanswered.setdefault(address, {})
+        unanswered[draw_id] = self._clock.now()
+
+    async def cancel_unanswered(self) -> None:
+        """Cancel the draws that may have been given without an answer."""
+        oldest_kept = self._clock.now() - RECORD_TTL_S
+        for address in tuple(self._unanswered):
+            draws = {
+                draw_id: drawn_at
+                for draw_id, drawn_at in self._unanswered.pop(address).items()
+                if drawn_at >= oldest_kept
+            }
+            try:
+                await self._call(address, CANCEL_PATH, list(draws))
+            except PeerSilentError:
+                self._unanswered.setdefault(address, {}).update(draws)
+
     async def return_tokens(self, address: str, tokens: dict[str, int]) -> bool:
         """Return unused tokens; False if they certainly did not arrive."""
         try:
@@ -194,16 +249,34 @@
             for account, tokens in content.items():
                 self._allocator.transfer_in(str(account), int(tokens))
             return sum(content.values())
+        if request.target == CANCEL_PATH:
+            return sum(self._cancel_draw(str(draw_id)) for draw_id in content)
         if request.target == DRAW_PATH and self._allot is not None:
-            account, tokens, wait_s = content
-            return await self._allot(str(account), int(tokens), float(wait_s))
+            account, tokens, wait_s, draw_id = content
+            given = await self._allot(str(account), int(tokens), float(wait_s))
+            if self._draw_records.record(str(draw_id), str(account), given):
+                return given
+            self._allocator.transfer_in(str(account), given)
+            return 0
         account, tokens = content
         transferred = self._allocator.transfer_out(str(account), int(tokens))
         self._log.info('tokens_given', account=account, tokens=transferred)
         return transferred
 
+    def _cancel_draw(self, draw_id: str) -> int:
+        """Take back the tokens of a draw; return how many."""
+        given = self._draw_records.cancel(draw_id)
+        if given is None:
+            return 0
+        self._allocator.transfer_in(given.account, given.tokens)
+        return given.tokens
+
     async def _call(
-        self, address: str, path: str, body: Any, wait_s: float = 0
+        self,
+        address: str,
+        path: str,
+        body: Any,
+        limits: _CallLimits = _DEFAULT_LIMITS,
     ) -> JsonAnswer:
         """
         Call another VM unless it has just failed to answer.
@@ -215,11 +288,11 @@
         call = JsonCall('POST', path, body)
         try:
             answer = await call_json(
-                self._pool, address, call, TOKENS_TIMEOUT_S + wait_s
+                self._pool, address, call, limits.timeout_s
             )
         except (BrokenAnswerError, ConnectError) as error:
             self._log.warning('peer_silent', peer=address, reason=str(error))
-            self._backoff_until[address] = self._clock.now() + BACKOFF_S
+            self._backoff_until[address] = self._clock.now() + limits.backoff_s
             sent = isinstance(error, BrokenAnswerError)
             raise PeerSilentError(f'{address}: {error}', sent=sent) from None
         self._count_bytes('peers', answer.sent_bytes, answer.received_bytes)
--- a/fuchsiafork/gateway/token_draws.py
+++ b/fuchsiafork/gateway/token_draws.py
@@ -51,6 +51,12 @@
         :raises BudgetExhaustedError: if the budget can't cover the tokens.
         :raises BudgetUnreachableError: if no holder has them in time.
         """
+        if self._allocator.available(account) < 0:
+            # The outcome of a ledger write is unknown; draws don't help.
+            raise BudgetUnreachableError(
+                'the outcome of a ledger write is unknown',
+                retry_after=RETRY_AFTER_S,
+            )
         addresses = self.holder_addresses(account)
         if not addresses and self._clock.now() < deadline:
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -76,9 +82,10 @@
         return self._slots.addresses_for(account)
 
     async def run(self) -> None:
-        """Return unused tokens periodically until cancelled."""
+        """Return unused tokens and cancel draws until cancelled."""
         while True:
             await asyncio.sleep(RETURN_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            await self._peers.cancel_unanswered()
             if not self._allocator.holding:
                 await self.return_unused()
 
@@ -124,13 +131,8 @@
         return draw.reason
 
     def _missing(self, account: str, tokens: int) -> int:
-        """
-        Return how many of some tokens this VM lacks.
-
-        While the outcome of a ledger write is unknown, less than nothing may
-        be available, which no draw makes up for.
-        """
-        return tokens - max(0, self._allocator.available(account))
+        """Return how many of some tokens this VM lacks."""
+        return tokens - self._allocator.available(account)
 
 
 __all__ = ('TokenDraws',)
