Draw no loopback port twice, and none of the ephemeral range

Gateways of the tests drew their ports from the ephemeral range, from which each outgoing connection takes one too, and other stand-ins could draw one port twice before a program listened on it. Fleets of twelve gateways draw 48 ports, which makes it likely.

Both now draw below that range, and remember what was drawn.

Failed before: both tests of tests/test_standins_addresses.py.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -1,7 +1,6 @@
 """Runs a store, targets and gateways of the platform on loopback addresses."""
 
 import asyncio
-import socket
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -9,15 +8,14 @@
 
 from fuchsiafork.gateway.program import GatewayProgram
 from fuchsiafork.kernel import SystemClock
+from standins.addresses import free_address
 from standins.platform_store import PlatformStoreServer
 from standins.platform_targets import PlatformTarget
 
 
 def free_port() -> int:
     """Return a port that no process listens on."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return int(sock.getsockname()[1])
+    return int(free_address().rpartition(':')[2])
 
 
 def make_route(
