--- a/standins/addresses.py
+++ b/standins/addresses.py
@@ -4,7 +4,6 @@
 import secrets
 import socket
 
-
 _drawn_ports: set[int] = set()
 
 
