--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -156,10 +156,10 @@
             )
         except PeerSilentError as error:
             if error.sent:
-                self._note_unanswered(address, draw_id)
+                self._record_unanswered(address, draw_id)
             raise
         except asyncio.CancelledError:
-            self._note_unanswered(address, draw_id)
+            self._record_unanswered(address, draw_id)
             raise
         if answer.status == _OK and isinstance(answer.body, int):
             return Draw(answer.body)
@@ -170,7 +170,7 @@
             raise BudgetExhaustedError(str(answer.body))
         return Draw(0, f'holder {address}: {answer.body}')
 
-    def _note_unanswered(self, address: str, draw_id: str) -> None:
+    def _record_unanswered(self, address: str, draw_id: str) -> None:
         """Keep a draw that may have been given, to be cancelled."""
         unanswered = self._unanswered.setdefault(address, {})
         unanswered[draw_id] = self._clock.now()
--- a/fuchsiafork/gateway/token_draws.py
+++ b/fuchsiafork/gateway/token_draws.py
@@ -94,7 +94,7 @@
         addresses = self._slots.addresses_for(self._vm)
         if not addresses:
             return
-        unused = self._allocator.take_unused()
+        unused = self._allocator.withdraw_unused()
         if unused and not await self._peers.return_tokens(addresses[0], unused):
             for account, tokens in unused.items():
                 self._allocator.transfer_in(account, tokens)
--- a/fuchsiafork/prepaid/allocator.py
+++ b/fuchsiafork/prepaid/allocator.py
@@ -236,7 +236,7 @@
         """Add tokens transferred from another VM."""
         self._states.setdefault(account, _AccountState()).used -= tokens
 
-    def take_unused(self) -> dict[str, int]:
+    def withdraw_unused(self) -> dict[str, int]:
         """Remove all available tokens and return them by account."""
         unused = {
             account: self.available(account)
--- a/fuchsiafork/prepaid/draw_records.py
+++ b/fuchsiafork/prepaid/draw_records.py
@@ -16,11 +16,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class GivenDraw:
+class DrawRecord:
     """
-    Tokens given to another VM.
+    Tokens transferred to another VM for one draw.
 
-    :ivar recorded_at: time at which they were given, seconds.
+    :ivar recorded_at: time of the transfer, seconds.
     """
 
     account: str
@@ -34,7 +34,7 @@
     def __init__(self, clock: Clock) -> None:
         """Start without draws."""
         self._clock = clock
-        self._draws: collections.OrderedDict[str, GivenDraw] = (
+        self._draws: collections.OrderedDict[str, DrawRecord] = (
             collections.OrderedDict()
         )
 
@@ -48,14 +48,14 @@
         if draw_id in self._draws:
             return False
         now = self._clock.now()
-        self._draws[draw_id] = GivenDraw(account, tokens, now)
+        self._draws[draw_id] = DrawRecord(account, tokens, now)
         return True
 
-    def cancel(self, draw_id: str) -> GivenDraw | None:
+    def cancel(self, draw_id: str) -> DrawRecord | None:
         """Cancel a draw; return it if it was given and not yet cancelled."""
         self._remove_expired()
         given = self._draws.pop(draw_id, None)
-        self._draws[draw_id] = GivenDraw('', 0, self._clock.now())
+        self._draws[draw_id] = DrawRecord('', 0, self._clock.now())
         return given if given is not None and given.tokens else None
 
     def _remove_expired(self) -> None:
@@ -68,4 +68,4 @@
             self._draws.popitem(last=False)
 
 
-__all__ = ('DrawRecords', 'GivenDraw')
+__all__ = ('DrawRecord', 'DrawRecords')
