--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -67,6 +67,8 @@
     :ivar unreachable: whether to back off from the target.
     :ivar silent: whether the target neither answered nor refused in time.
     :ivar target_at_fault: whether the failure counts against the target.
+    :ivar broken: whether the connection ended before the whole answer.
+    :ivar begun: whether the target had sent an event in this attempt.
     """
 
     error: FuchsiaforkError
@@ -77,6 +79,8 @@
     unreachable: bool = False
     silent: bool = False
     target_at_fault: bool = True
+    broken: bool = False
+    begun: bool = False
 
 
 class AnswerRelay:
@@ -104,6 +108,7 @@
         self._account = account
         self._event_tokens = event_tokens
         self._event_parser = EventStreamParser()
+        self._events_before_attempt = 0
 
     @property
     def affinity_key(self) -> str:
@@ -113,11 +118,21 @@
             return ''
         return parts[-2] if len(parts) > 1 else parts[0]
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt parts that other requests may share."""
+        return self._metadata.shared_parts
+
     @property
     def route_name(self) -> str:
         """Name of the route."""
         return self._route.name
 
+    @property
+    def _begun(self) -> bool:
+        """Whether the target has sent an event in this attempt."""
+        return self._event_parser.event_count > self._events_before_attempt
+
     @property
     def cost(self) -> int:
         """Tokens of the prompt and of the stream events forwarded so far."""
@@ -131,6 +146,7 @@
         remaining_s: float,
     ) -> Failure | None:
         """Return why the attempt failed, None once the answer was sent."""
+        self._events_before_attempt = self._event_parser.event_count
         try:
             await self._send(call, remaining_s)
         except ConnectError as error:
@@ -272,6 +288,8 @@
             unreachable=error.silent,
             silent=error.silent,
             target_at_fault=not call.stale_connection,
+            broken=not error.silent,
+            begun=self._begun,
         )
 
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -30,6 +30,13 @@
             ('code',),
             registry=self.registry,
         )
+        self.broken_attempts = prom.Counter(
+            'fuchsiafork_gateway_broken_attempts',
+            'Attempts whose connection ended before the whole answer, by '
+            'whether the answer had begun.',
+            ('begun',),
+            registry=self.registry,
+        )
         self.duration = prom.Histogram(
             'fuchsiafork_gateway_request_seconds',
             'Time from a whole request to the end of its answer.',
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -168,7 +168,10 @@
     def _log_failure(self, state: TargetState, failure: Failure) -> None:
         """Log and count a failed attempt."""
         error = failure.error
-        self._shared.metrics.failed_attempts.labels(error.code).inc()
+        metrics = self._shared.metrics
+        metrics.failed_attempts.labels(error.code).inc()
+        if failure.broken:
+            metrics.broken_attempts.labels(str(failure.begun).lower()).inc()
         self._shared.log.warning(
             'attempt_failed',
             request_id=self._record.request_id,
@@ -179,6 +182,9 @@
             not_run=failure.not_run,
             stale=failure.stale_connection,
             failing=round(state.failure_share, 2),
+            broken=failure.broken,
+            begun=failure.begun,
+            parts=','.join(self._answer_relay.shared_parts),
         )
 
     def _may_try_another(self, failure: Failure) -> bool:
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -46,6 +46,11 @@
     output_tokens: int
     prompt_parts: tuple[str, ...]
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Parts that other requests may share; the last one is its own."""
+        return tuple(dict.fromkeys(self.prompt_parts[:-1]))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseMetadata:
