--- /dev/null
+++ b/standins/engine_fleet.py
@@ -0,0 +1,153 @@
+"""Engines that end, and are replaced by new ones some seconds later."""
+
+import asyncio
+import dataclasses
+import functools
+import itertools
+import time
+from typing import Any
+
+from fuchsiafork.transport.caller import CallerConnection, CallerRequest
+from standins.platform_site import PlatformSite
+from standins.platform_targets import Behaviour, PlatformTarget, Run
+
+# Time after which an engine that ended is replaced.
+REPLACEMENT_S = 3.0
+# Time from the arrival of a prompt to the first event, or the engine's end.
+BEGIN_S = 0.05
+EVENTS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """
+    A prompt that reached an engine.
+
+    :ivar at: time, seconds of the monotonic clock.
+    :ivar parts: ids of its parts.
+    """
+
+    at: float
+    parts: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """
+    The end of an engine.
+
+    :ivar at: time, seconds of the monotonic clock.
+    :ivar fatal: whether a fatal part ended it.
+    """
+
+    at: float
+    fatal: bool
+
+
+class FleetEngine(PlatformTarget):
+    """An engine that ends when it begins to answer on a fatal part."""
+
+    def __init__(
+        self, target_id: str, domain: str, fleet: 'EngineFleet'
+    ) -> None:
+        """Create an engine of a fleet."""
+        super().__init__(target_id, 'engine', domain)
+        self.domain = domain
+        self.behaviour = Behaviour(delay_s=BEGIN_S, events=EVENTS)
+        self._fleet = fleet
+
+    async def _serve(
+        self, request: CallerRequest, caller: CallerConnection
+    ) -> None:
+        """Record the arrival and answer."""
+        parts = prompt_parts(request.header('x-prompt-prefix'))
+        self._fleet.arrivals.append(Arrival(time.monotonic(), parts))
+        await super()._serve(request, caller)
+
+    async def _answer(
+        self,
+        request: CallerRequest,
+        caller: CallerConnection,
+        behaviour: Behaviour,
+        run: Run,
+    ) -> None:
+        """Answer, or end if the prompt has a fatal part."""
+        parts = prompt_parts(request.header('x-prompt-prefix'))
+        if self._fleet.fatal_part in parts[:-1]:
+            await asyncio.sleep(behaviour.delay_s)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(functools.partial(self._fleet.end, self, fatal=True))
+            await asyncio.sleep(1)
+        await super()._answer(request, caller, behaviour, run)
+
+
+class EngineFleet:
+    """
+    The engines of a site.
+
+    :ivar fatal_part: part on which engines end, empty for none.
+    """
+
+    def __init__(self, site: PlatformSite, domains: str, size: int) -> None:
+        """Create engines, distributed over failure domains, not started."""
+        self.fatal_part = ''
+        self.arrivals: list[Arrival] = []
+        self.ends: list[End] = []
+        self._site = site
+        self._numbers = itertools.count()
+        self._live = [
+            self._make(domains[number % len(domains)]) for number in range(size)
+        ]
+        self._replacements: set[asyncio.Task[None]] = set()
+
+    @property
+    def live(self) -> tuple[FleetEngine, ...]:
+        """The engines that have not ended."""
+        return tuple(self._live)
+
+    @property
+    def fatal_ends(self) -> list[End]:
+        """The ends under a fatal part."""
+        return [end for end in self.ends if end.fatal]
+
+    def end(self, engine: FleetEngine, *, fatal: bool) -> None:
+        """End an engine and replace it later."""
+        if engine not in self._live:
+            return
+        self._live.remove(engine)
+        self.ends.append(End(time.monotonic(), fatal))
+        engine.stop()
+        task = asyncio.create_task(self._replace(engine))
+        self._replacements.add(task)
+        task.add_done_callback(self._replacements.discard)
+
+    def stop(self) -> None:
+        """Replace no further engine."""
+        for task in self._replacements:
+            task.cancel()
+
+    async def _replace(self, engine: FleetEngine) -> None:
+        """Remove an engine's entry and start another one."""
+        await asyncio.sleep(REPLACEMENT_S)
+        self._site.store.remove(f'servers/{engine.target_id}')
+        successor = self._make(engine.domain)
+        await self._site.add_target(successor)
+        self._live.append(successor)
+
+    def _make(self, domain: str) -> FleetEngine:
+        """Return a new engine."""
+        return FleetEngine(f'e-{next(self._numbers)}', domain, self)
+
+
+def prompt_parts(prefix: str) -> tuple[str, ...]:
+    """Return the ids in a header with the parts of a prompt."""
+    return tuple(entry.partition(':')[0] for entry in prefix.split(','))
+
+
+def prompt_headers(*parts: str) -> dict[str, Any]:
+    """Return the headers of a prompt with some parts."""
+    return {
+        'x_token_count': '100,200',
+        'x_model': 'm',
+        'x_prompt_prefix': ','.join(f'{part}:10' for part in parts),
+    }
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -93,8 +93,14 @@
         entry = {**target.entry, **changes}
         self.store.put(f'servers/{target.target_id}', entry)
 
-    async def add_gateway(self, vm: str, domain: str) -> GatewayProgram:
-        """Start a gateway and return it once it is ready."""
+    async def add_gateway(
+        self, vm: str, domain: str, store_address: str = ''
+    ) -> GatewayProgram:
+        """
+        Start a gateway and return it once it is ready.
+
+        :param store_address: its path to the store, by default a direct one.
+        """
         port, peer_port = free_port(), free_port()
         path = Path(self._settings_dir.name) / f'{vm}.conf'
         lines = (
@@ -105,7 +111,7 @@
             f'metricsPort={free_port()}',
             f'listen.front=127.0.0.1:{port}',
             f'listen.ready=127.0.0.1:{free_port()}',
-            f'platform.address={self.store.address}',
+            f'platform.address={store_address or self.store.address}',
             'bounds.graceS=8',
             'bounds.budgetExtra=56',
         )
