Quarantine prompt parts under which targets end

Callers saw 502 on prompts that ended one target after another, and lost the streams that ran there. Nothing kept which parts a broken prompt bore, and no VM learned what another saw: of five ends eight VMs see less than one each.

When a connection breaks before a target has begun to answer, the VM checks that the target's process is gone, drops the parts on which answers begin meanwhile, and reports the others in the store, where all VMs watch. A part with the ends of three targets since the last answer that began on it goes into quarantine: its prompts are refused with 2207 (503, not run), but for a probe, of which the store lets one VM send one at a time, and none after a probe that ended its target. An answer that begins releases the part everywhere. A prompt that broke is not repeated if a part of it is suspected for another target. A VM that starts serves prompts only once it has the reports.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from fuchsiafork.gateway.configuration import Route
@@ -98,8 +98,14 @@
         metadata: wire.RequestMetadata,
         account: str,
         event_tokens: int,
+        on_begun: Callable[[tuple[str, ...]], None],
     ) -> None:
-        """Start before the first attempt."""
+        """
+        Start before the first attempt.
+
+        :param on_begun: called with the shared prompt parts when a target has
+            begun to answer.
+        """
         self.may_have_run = False
         self._request = request
         self._caller = caller
@@ -107,6 +113,7 @@
         self._metadata = metadata
         self._account = account
         self._event_tokens = event_tokens
+        self._on_begun = on_begun
         self._event_parser = EventStreamParser()
         self._events_before_attempt = 0
 
@@ -197,6 +204,8 @@
         body = await call.read_body(MAX_BUFFERED_ANSWER_BYTES)
         answer = BufferedAnswer(head, body)
         failure = classify_answer(answer)
+        if head.success:
+            self._on_begun(self.shared_parts)
         if failure is None:
             self.forward(answer)
         return failure
@@ -232,8 +241,11 @@
         """
         chunk = await self._read_chunk(call)
         while chunk:
+            begun = self._begun
             events = self._parse_events(chunk)
             if events:
+                if not begun:
+                    self._on_begun(self.shared_parts)
                 self._send_head(head)
                 self._caller.write(events)
                 await self._caller.drain()
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -9,8 +9,10 @@
 from fuchsiafork.gateway.control_traffic import ControlTraffic
 from fuchsiafork.gateway.holder_election import SLOTS_PREFIX, HolderElection
 from fuchsiafork.gateway.metrics import GatewayMetrics
+from fuchsiafork.gateway.notice_writer import QUARANTINE_PREFIX, NoticeWriter
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.prepaid_tokens import PrepaidTokens
+from fuchsiafork.gateway.prompt_quarantine import PromptQuarantine
 from fuchsiafork.gateway.reachability import DomainReachability
 from fuchsiafork.gateway.retry_budget import RetryBudget
 from fuchsiafork.gateway.rollouts import RolloutController
@@ -19,7 +21,7 @@
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
 from fuchsiafork.gateway.token_draws import TokenDraws
-from fuchsiafork.gateway.watcher import Watcher
+from fuchsiafork.gateway.watcher import BATCH_INTERVAL_S, Watcher
 from fuchsiafork.kernel import Clock, SystemClock
 from fuchsiafork.platform import names
 from fuchsiafork.platform.settings import VmSettings
@@ -32,6 +34,9 @@
 )
 from fuchsiafork.transport.pool import ConnectionPool
 
+# Each notice wakes all VMs, so that notices in succession share calls.
+NOTICE_BATCH_INTERVAL_S = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Components:
@@ -44,6 +49,7 @@
     :ivar clock_check: compares the clock with those of other VMs.
     :ivar election: claims a slot that lets this VM hold grants.
     :ivar token_draws: draws tokens from other VMs.
+    :ivar notice_writer: writes what this VM reports on prompt parts.
     :ivar traffic: bytes exchanged for control.
     """
 
@@ -55,6 +61,7 @@
     clock_check: ClockCheck
     election: HolderElection
     token_draws: TokenDraws
+    notice_writer: NoticeWriter
     traffic: ControlTraffic
 
 
@@ -99,7 +106,12 @@
     target_watcher = _make_watcher(names.TARGETS_PREFIX, store, dependencies)
     instance_id = f'{settings.vm}#{secrets.token_hex(4)}'
     budgets = _make_budgets(dependencies, store, instance_id)
-    shared = _make_shared_state(dependencies, store, budgets, instance_id)
+    writer = NoticeWriter(
+        instance_id, store, clock, dependencies.rng, metrics, log
+    )
+    shared = _make_shared_state(
+        dependencies, store, budgets, writer, instance_id
+    )
     return Components(
         shared=shared,
         store=store,
@@ -114,6 +126,7 @@
         clock_check=budgets.clock_check,
         election=budgets.election,
         token_draws=budgets.token_draws,
+        notice_writer=writer,
         traffic=dependencies.traffic,
     )
 
@@ -155,17 +168,33 @@
     dependencies: _Dependencies,
     store: PlatformStore,
     budgets: _Budgets,
+    writer: NoticeWriter,
     instance_id: str,
 ) -> SharedState:
     """Return the state shared by requests."""
     clock, rng, log = dependencies.clock, dependencies.rng, dependencies.log
     reachability = DomainReachability()
+    targets = TargetTable()
+    quarantine = PromptQuarantine(
+        writer,
+        _make_watcher(
+            QUARANTINE_PREFIX,
+            store,
+            dependencies,
+            batch_interval_s=NOTICE_BATCH_INTERVAL_S,
+        ),
+        targets,
+        clock,
+        rng,
+        dependencies.metrics,
+        log,
+    )
     return SharedState(
         clock=clock,
         rng=rng,
         log=log,
         metrics=dependencies.metrics,
-        targets=TargetTable(),
+        targets=targets,
         pool=dependencies.pool,
         reachability=reachability,
         target_selector=TargetSelector(
@@ -175,6 +204,7 @@
         peers=budgets.peers,
         prepaid_tokens=budgets.prepaid_tokens,
         rollouts=RolloutController(instance_id, store, clock, log),
+        quarantine=quarantine,
     )
 
 
@@ -195,6 +225,7 @@
     dependencies: _Dependencies,
     *,
     newest_only: bool = False,
+    batch_interval_s: float = BATCH_INTERVAL_S,
 ) -> Watcher:
     """Return a watcher of the items under a prefix."""
     return Watcher(
@@ -204,6 +235,7 @@
         dependencies.rng,
         dependencies.log,
         newest_only=newest_only,
+        batch_interval_s=batch_interval_s,
     )
 
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -37,6 +37,23 @@
             ('begun',),
             registry=self.registry,
         )
+        self.ended_targets = prom.Counter(
+            'fuchsiafork_gateway_ended_targets',
+            'Targets whose process ended before it had begun to answer a '
+            'prompt of this VM.',
+            registry=self.registry,
+        )
+        self.quarantined_parts = prom.Gauge(
+            'fuchsiafork_gateway_quarantined_parts',
+            'Prompt parts that no target may get but for a probe.',
+            registry=self.registry,
+        )
+        self.notices = prom.Counter(
+            'fuchsiafork_gateway_notices',
+            'Notices on prompt parts that were written, by kind.',
+            ('kind',),
+            registry=self.registry,
+        )
         self.duration = prom.Histogram(
             'fuchsiafork_gateway_request_seconds',
             'Time from a whole request to the end of its answer.',
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -101,6 +101,7 @@
             self._shared.configuration is not None
             and self._components.target_feed.listed
             and self._shared.prepaid_tokens.ready
+            and self._shared.quarantine.listed
         )
         return synchronized and not self._stopping.is_set()
 
@@ -181,6 +182,9 @@
             ),
             self._components.token_draws.run(),
             self._components.clock_check.run(),
+            self._components.notice_writer.run(),
+            self._shared.quarantine.watch(),
+            self._shared.quarantine.run(),
             self._run_periodic_work(),
         )
         self._tasks = [
--- /dev/null
+++ b/fuchsiafork/gateway/prompt_quarantine.py
@@ -0,0 +1,330 @@
+"""Keeps prompts away from targets that would end under them."""
+
+import asyncio
+import json
+import random
+from typing import Any
+
+from fuchsiafork.gateway.metrics import GatewayMetrics
+from fuchsiafork.gateway.notice_writer import NoticeWriter
+from fuchsiafork.gateway.targets import Target, TargetTable
+from fuchsiafork.gateway.watcher import Watcher
+from fuchsiafork.kernel import Clock, stable_hash
+from fuchsiafork.kernel.errors import (
+    NotConfiguredError,
+    QuarantinedError,
+    StoreUnavailableError,
+)
+from fuchsiafork.platform.store import Changes, Item
+from fuchsiafork.quarantine import (
+    EndCollection,
+    Notice,
+    NoticeKind,
+    PartEvidence,
+    PendingEnd,
+    Probe,
+    decode_notice,
+    suppression_delay_s,
+)
+from fuchsiafork.quarantine.notices import MAX_PART_CHARS, MAX_PARTS
+from fuchsiafork.transport.client_connection import ConnectError, connect
+
+# Time after a connection broke in which a process that ended has closed its
+# address.
+END_CHECK_DELAY_S = 0.05
+END_CHECK_TIMEOUT_S = 0.3
+# Time in which answers that begin elsewhere acquit parts, before a report.
+COLLECTION_S = 0.4
+EXPIRY_INTERVAL_S = 30.0
+RETRY_AFTER_S = 2.0
+
+
+class PromptQuarantine:
+    """
+    Reports targets that end, and refuses prompts that would end more.
+
+    :ivar listed: whether the notices of other VMs are known.
+    """
+
+    def __init__(
+        self,
+        writer: NoticeWriter,
+        watcher: Watcher,
+        targets: TargetTable,
+        clock: Clock,
+        rng: random.Random,
+        metrics: GatewayMetrics,
+        log: Any,
+    ) -> None:
+        """
+        Start without evidence.
+
+        :param watcher: follows the notices of all VMs.
+        """
+        self.listed = False
+        self._writer = writer
+        self._watcher = watcher
+        self._targets = targets
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._log = log
+        self._evidence = PartEvidence()
+        self._collection = EndCollection()
+        self._reports: set[asyncio.Task[None]] = set()
+        # Times at which to report that an answer has begun, by part.
+        self._acquittals: dict[str, float] = {}
+        self._scheduled = asyncio.Event()
+
+    async def watch(self) -> None:
+        """Follow the notices of all VMs until cancelled."""
+        await self._watcher.run(self._apply_listing, self._apply_changes)
+
+    async def run(self) -> None:
+        """Report acquittals and forget old evidence until cancelled."""
+        while True:
+            await self._wait_for_work()
+            self._queue_acquittals()
+            self._evidence.expire(self._clock.now())
+            self._metrics.quarantined_parts.set(len(self._evidence))
+
+    def check(self, parts: tuple[str, ...]) -> None:
+        """
+        Refuse a prompt that no target may get now.
+
+        :raises NotConfiguredError: if the notices aren't known yet.
+        :raises QuarantinedError: if a part is in quarantine.
+        """
+        if not parts:
+            return
+        if not self.listed:
+            raise NotConfiguredError(
+                'the quarantined prompts are not known yet', retry_after=1
+            )
+        if self._evidence.quarantined(_ids(parts)):
+            self._next_probe(_ids(parts))
+
+    async def admit(self, parts: tuple[str, ...], target: Target) -> bool:
+        """
+        Return whether an attempt is a probe of a quarantined part.
+
+        :raises QuarantinedError: if the target may not get the prompt.
+        """
+        ids = _ids(parts)
+        if not self._evidence.quarantined(ids):
+            return False
+        probe = self._next_probe(ids)
+        if not await self._acquire(probe, _lifetime(target)):
+            raise self._refusal([probe.part], 'another VM sends a probe')
+        return True
+
+    def may_repeat(self, parts: tuple[str, ...], target: Target) -> bool:
+        """Return whether another target may get a prompt that broke."""
+        lifetime = _lifetime(target)
+        return not any(
+            self._evidence.is_suspected(part, lifetime)
+            or self._collection.is_suspected(part, lifetime)
+            for part in _ids(parts)
+        )
+
+    def record_begun(self, parts: tuple[str, ...]) -> None:
+        """Record that a target has begun to answer a prompt."""
+        for part in _ids(parts):
+            self._collection.acquit(part)
+            urgent = bool(self._evidence.quarantined((part,)))
+            if self._evidence.begin(part):
+                self._schedule_acquittal(part, urgent=urgent)
+
+    def record_broken(self, parts: tuple[str, ...], target: Target) -> None:
+        """Record that a target broke off before it began to answer."""
+        if not parts:
+            return
+        end = self._collection.add(_lifetime(target), _ids(parts))
+        if end is not None:
+            task = asyncio.create_task(self._report(end, target))
+            self._reports.add(task)
+            task.add_done_callback(self._reports.discard)
+
+    def _next_probe(self, ids: tuple[str, ...]) -> Probe:
+        """
+        Return the probe that a prompt may be sent as.
+
+        :raises QuarantinedError: if there is none.
+        """
+        now = self._clock.now()
+        quarantined = self._evidence.quarantined(ids)
+        # The last part is shared by the fewest prompts.
+        probe = self._evidence.next_probe(quarantined[-1], now)
+        if probe is None:
+            raise self._refusal(quarantined, 'no probe is due')
+        return probe
+
+    def _refusal(self, quarantined: list[str], reason: str) -> QuarantinedError:
+        """Return the error for a prompt, and keep its quarantine known."""
+        now = self._clock.now()
+        due = [part for part in quarantined if self._evidence.refuse(part, now)]
+        if due:
+            self._writer.queue(Notice(NoticeKind.QUARANTINED, tuple(due)))
+        ends = max(self._evidence.ends(part) for part in quarantined)
+        return QuarantinedError(
+            f'{ends} targets ended under {quarantined!r}; {reason}',
+            retry_after=RETRY_AFTER_S,
+        )
+
+    async def _acquire(self, probe: Probe, lifetime: str) -> bool:
+        """Return whether this VM may send a probe, which no other one may."""
+        now = self._clock.now()
+        try:
+            granted = await self._writer.acquire(probe, lifetime)
+        except StoreUnavailableError as error:
+            self._log.info('probe_unknown', part=probe.part, reason=str(error))
+            return False
+        self._evidence.record_probe(
+            probe.part, probe.number, lifetime if granted else '', now
+        )
+        self._log.info(
+            'probe', part=probe.part, number=probe.number, granted=granted
+        )
+        return granted
+
+    async def _report(self, end: PendingEnd, target: Target) -> None:
+        """Report the parts under which a target ended, if it did."""
+        await asyncio.sleep(END_CHECK_DELAY_S)
+        if not await self._has_ended(target):
+            self._collection.pop(end)
+            self._log.info('target_lives', target=target.target_id)
+            return
+        await asyncio.sleep(COLLECTION_S)
+        parts = self._collection.pop(end)
+        self._metrics.ended_targets.inc()
+        self._log.warning(
+            'target_ended', target=end.lifetime, parts=','.join(parts)
+        )
+        self._add_end(end.lifetime, parts)
+        for start in range(0, len(parts), MAX_PARTS):
+            chunk = parts[start : start + MAX_PARTS]
+            self._writer.queue(Notice(NoticeKind.ENDED, chunk, end.lifetime))
+
+    async def _has_ended(self, target: Target) -> bool:
+        """Return whether a target's process is gone."""
+        state = self._targets.get(target.target_id)
+        if state is None or _lifetime(state.target) != _lifetime(target):
+            return True
+        try:
+            connection = await connect(target.address, END_CHECK_TIMEOUT_S)
+        except ConnectError as error:
+            return not error.silent
+        connection.close()
+        return False
+
+    def _schedule_acquittal(self, part: str, *, urgent: bool) -> None:
+        """Report later that an answer on a part has begun."""
+        delay_s = 0.0 if urgent else suppression_delay_s(self._rng)
+        due_at = self._clock.now() + delay_s
+        known = self._acquittals.get(part, due_at)
+        self._acquittals[part] = min(known, due_at)
+        self._scheduled.set()
+
+    def _queue_acquittals(self) -> None:
+        """Queue a notice with the acquittals that are due."""
+        now = self._clock.now()
+        due = [part for part, at in self._acquittals.items() if at <= now]
+        for part in due:
+            self._acquittals.pop(part)
+        if due:
+            self._writer.queue(Notice(NoticeKind.BEGUN, tuple(due[:MAX_PARTS])))
+
+    async def _wait_for_work(self) -> None:
+        """Wait until an acquittal is due or evidence may expire."""
+        due_at = min(self._acquittals.values(), default=None)
+        limit_s = EXPIRY_INTERVAL_S
+        if due_at is not None:
+            limit_s = min(limit_s, max(0.0, due_at - self._clock.now()))
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._scheduled.wait()
+        except TimeoutError:
+            return
+        self._scheduled.clear()
+
+    def _apply_listing(self, changes: Changes) -> None:
+        """Apply the notices of a listing, which is ordered by key."""
+        for item in sorted(changes.items, key=lambda item: item.revision):
+            self._apply_item(item)
+        self.listed = True
+
+    def _apply_changes(self, changes: Changes) -> None:
+        """Apply new notices."""
+        for item in changes.items:
+            self._apply_item(item)
+
+    def _apply_item(self, item: Item) -> None:
+        """Apply one notice; its removal changes nothing."""
+        if item.value is None:
+            return
+        try:
+            notice = decode_notice(item.value)
+        except ValueError as error:
+            reason = json.dumps(str(error))
+            self._log.warning('notice_ignored', key=item.key, reason=reason)
+            return
+        self._apply(notice, item.revision)
+
+    def _apply(self, notice: Notice, revision: int) -> None:
+        """Apply a notice to the evidence."""
+        now = self._clock.now()
+        if notice.kind is NoticeKind.ENDED:
+            self._add_end(notice.lifetime, notice.parts, revision)
+        elif notice.kind is NoticeKind.QUARANTINED:
+            added = self._evidence.announce(notice.parts, now, revision)
+            self._log_quarantined(added)
+        elif notice.kind is NoticeKind.PROBED:
+            for part in notice.parts:
+                self._evidence.record_probe(
+                    part, notice.probe, notice.lifetime, now
+                )
+        else:
+            for part in notice.parts:
+                self._acquittals.pop(part, None)
+            released = self._evidence.clear(notice.parts, revision)
+            if released:
+                self._log.warning('parts_released', parts=','.join(released))
+
+    def _add_end(
+        self,
+        lifetime: str,
+        parts: tuple[str, ...],
+        revision: int | None = None,
+    ) -> None:
+        """Add the end of a target to the evidence."""
+        now = self._clock.now()
+        if revision is None:
+            added = self._evidence.add_end(lifetime, parts, now)
+        else:
+            added = self._evidence.add_end(lifetime, parts, now, revision)
+        self._log_quarantined(added)
+
+    def _log_quarantined(self, parts: list[str]) -> None:
+        """Log the parts that are now in quarantine."""
+        self._metrics.quarantined_parts.set(len(self._evidence))
+        for part in parts:
+            self._log.warning(
+                'part_quarantined', part=part, ends=self._evidence.ends(part)
+            )
+
+
+def _lifetime(target: Target) -> str:
+    """Return an id of one start of a target."""
+    return f'{target.target_id}@{target.started_unix_ms}'
+
+
+def _ids(parts: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the ids of parts in notices, with hashes for long ones."""
+    return tuple(
+        part if len(part) <= MAX_PART_CHARS else f'{stable_hash(part):016x}'
+        for part in parts
+        if part
+    )
+
+
+__all__ = ('PromptQuarantine',)
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -36,6 +36,7 @@
         # One sample for all attempts, so that a rollout assigns them to one
         # version.
         self._version_sample = shared.rng.random()
+        self._probing = False
 
     async def run(self, deadline: float) -> None:
         """
@@ -49,11 +50,12 @@
             state = self._select_target()
             if state is None or not self._within_retry_budget(failure):
                 break
+            await self._admit(state)
             failure = await self._attempt(state, deadline)
             if failure is None:
                 return
             self._handle_failure(state, failure)
-            if not self._may_try_another(failure):
+            if not self._may_try_another(state, failure):
                 break
         if failure is None:
             service = self._record.service
@@ -64,6 +66,17 @@
             raise failure.error
         self._answer_relay.forward(failure.answer)
 
+    async def _admit(self, state: TargetState) -> None:
+        """
+        Check that the target may get the prompt, if need be as a probe.
+
+        :raises QuarantinedError: if it may not.
+        """
+        if not self._probing:
+            self._probing = await self._shared.quarantine.admit(
+                self._answer_relay.shared_parts, state.target
+            )
+
     async def _attempt(
         self, state: TargetState, deadline: float
     ) -> Failure | None:
@@ -161,6 +174,10 @@
         if failure.unreachable and not failure.stale_connection:
             state.back_off(now)
             self._shared.pool.drop(target.address)
+        if failure.broken and not failure.begun:
+            self._shared.quarantine.record_broken(
+                self._answer_relay.shared_parts, target
+            )
         if failure.silent:
             reachability = self._shared.reachability
             reachability.record_no_answer(target.domain, target.target_id, now)
@@ -187,12 +204,21 @@
             parts=','.join(self._answer_relay.shared_parts),
         )
 
-    def _may_try_another(self, failure: Failure) -> bool:
+    def _may_try_another(self, state: TargetState, failure: Failure) -> bool:
         """Return whether another target may be tried after a failure."""
         if not failure.possibly_sent:
             return len(self._unreached_ids) <= MAX_UNREACHED_TARGETS
+        unbegun = failure.broken and not failure.begun
+        if unbegun and not self._may_repeat_prompt(state):
+            return False
         if failure.stale_connection and self._route.retryable:
             return True
         if len(self._tried_ids) >= self._route.max_targets:
             return False
         return failure.not_run or self._route.retryable
+
+    def _may_repeat_prompt(self, state: TargetState) -> bool:
+        """Return whether the prompt is not suspected of ending targets."""
+        parts = self._answer_relay.shared_parts
+        quarantine = self._shared.quarantine
+        return not self._probing and quarantine.may_repeat(parts, state.target)
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -87,6 +87,7 @@
         account = _find_account(configuration, route, metadata)
         self._set_deadline(route, metadata)
         self._admit(route, account)
+        self._shared.quarantine.check(metadata.shared_parts)
         await self._reserve(account, metadata)
         service = configuration.services.get(self._record.service)
         self._answer_relay = AnswerRelay(
@@ -96,6 +97,7 @@
             metadata=metadata,
             account=self._record.account,
             event_tokens=service.event_tokens if service else 0,
+            on_begun=self._shared.quarantine.record_begun,
         )
         await self._send_to_targets(route, self._answer_relay)
 
--- a/fuchsiafork/gateway/shared_state.py
+++ b/fuchsiafork/gateway/shared_state.py
@@ -8,6 +8,7 @@
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.prepaid_tokens import PrepaidTokens
+from fuchsiafork.gateway.prompt_quarantine import PromptQuarantine
 from fuchsiafork.gateway.reachability import DomainReachability
 from fuchsiafork.gateway.retry_budget import RetryBudget
 from fuchsiafork.gateway.rollouts import RolloutController
@@ -39,5 +40,6 @@
     peers: Peers
     prepaid_tokens: PrepaidTokens
     rollouts: RolloutController
+    quarantine: PromptQuarantine
     configuration: Configuration | None = None
     targets_last_contact_at: float = 0.0
--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -42,16 +42,19 @@
         log: Any,
         *,
         newest_only: bool = False,
+        batch_interval_s: float = BATCH_INTERVAL_S,
     ) -> None:
         """
         Prepare to watch a prefix.
 
+        :param batch_interval_s: seconds between a change and the next call.
         :param newest_only: whether only the newest value of an item matters.
             A watch returns each value meanwhile, so that the items are listed
             instead after the connection was lost, and after a change that
             took long to receive until a listing shows no newer one.
         """
         self._newest_only = newest_only
+        self._batch_interval_s = batch_interval_s
         self.connected = False
         self.connection_changed_at = clock.now()
         self.last_contact_at = clock.now()
@@ -108,7 +111,7 @@
         """Return the seconds until the next call."""
         if not listed:
             return RELIST_PAUSE_S
-        return BATCH_INTERVAL_S if changes.items else 0.0
+        return self._batch_interval_s if changes.items else 0.0
 
     def _falls_behind(self, changes: Changes) -> bool:
         """Return whether further changes may have arrived during a call."""
--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -255,6 +255,14 @@
     retry_safe = True
 
 
+class QuarantinedError(FuchsiaforkError):
+    """Targets ended under a part of the prompt; it is not sent to more."""
+
+    code = 2207
+    status = 503
+    retry_safe = True
+
+
 class TargetFailedError(FuchsiaforkError):
     """The target failed after it received the request."""
 
