Test the quarantine with the store away, cuts, starts and other ends

Store down while targets end and after it, a failure domain cut from the store on either side of the ends, a VM that starts later, targets killed in series and all at once, connections reset: fatal prompts stay within the three that may arrive late, and sound ones are not refused. The loopback proxy can be stopped, so that a test leaves no task behind.

--- a/standins/link_proxies.py
+++ b/standins/link_proxies.py
@@ -11,6 +11,7 @@
 
 _CHUNK_BYTES = 65536
 _START_TIMEOUT_S = 5.0
+_STOP_S = 0.05
 
 
 class LinkProxy:
@@ -23,6 +24,7 @@
         self._is_open = asyncio.Event()
         self._is_open.set()
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -37,12 +39,34 @@
         else:
             self._is_open.clear()
 
+    async def stop(self) -> None:
+        """Stop listening and abort all connections."""
+        if self._server is not None:
+            self._server.close()
+        self._is_open.set()
+        for writer in self._writers:
+            writer.transport.abort()
+        # The tasks of the connections end in the next steps of the loop.
+        await asyncio.sleep(_STOP_S)
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Forward one connection in both directions until it is closed."""
+        self._writers.add(writer)
+        try:
+            await self._connect(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _connect(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Connect to the destination and forward."""
         await self._is_open.wait()
         host, _, port = self._destination.rpartition(':')
         with contextlib.suppress(OSError):
--- a/tests/quarantine_case.py
+++ b/tests/quarantine_case.py
@@ -21,6 +21,8 @@
 # Requests with such a part that may still arrive then.
 MAX_LATE_ARRIVALS = 3
 SUBJECTS = 20
+# Code of a refusal because of a part in quarantine.
+QUARANTINED = b'2207'
 PATHS = ('/ask/1', '/talk/1')
 SOUND_PER_S = 40.0
 FATAL_PER_S = 4.0
@@ -47,6 +49,8 @@
         self._ids = itertools.count()
         self._prompts: set[asyncio.Task[None]] = set()
         self.sound: list[tuple[float, int]] = []
+        # Sound prompts refused because of a part in quarantine.
+        self.refused = 0
         for number in range(self.vm_count):
             await self.add_vm(number)
 
@@ -121,3 +125,4 @@
         sent_at = time.monotonic()
         reply = await self.prompt(vm, path, FIRST_PART, subject)
         self.sound.append((sent_at, reply.status if reply.complete else 0))
+        self.refused += QUARANTINED in reply.body
--- /dev/null
+++ b/tests/test_quarantine_troubles.py
@@ -0,0 +1,175 @@
+"""Quarantine while the store, VMs and targets have other troubles."""
+
+import asyncio
+import time
+
+from standins.link_proxies import LinkProxy
+from standins.platform_store import StoreFault
+from tests.quarantine_case import (
+    DOMAINS,
+    FATAL_PART,
+    FIRST_PART,
+    MAX_ENDS,
+    MAX_LATE_ARRIVALS,
+    QUARANTINED,
+    STABLE_S,
+    QuarantineCase,
+)
+
+LEAST_SOUND_SHARE = 0.9
+
+
+class TestStoreAway(QuarantineCase):
+    """The store is down while targets end."""
+
+    async def test_reports_are_pooled_once_the_store_is_back(self) -> None:
+        """Guards against reports that are lost with the store."""
+        self.site.store.fault = StoreFault.BUSY
+        self.engines.fatal_part = FATAL_PART
+        await self.run_load(4.0)
+        self.assertGreaterEqual(len(self.engines.fatal_ends), MAX_ENDS)
+        self.site.store.fault = StoreFault.NONE
+        returned_at = time.monotonic()
+        await self.run_load(STABLE_S + 4.0)
+        late = self.late_arrivals(returned_at + STABLE_S)
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS)
+
+    async def test_quarantine_lasts_while_the_store_is_away(self) -> None:
+        """Guards against a quarantine that ends with the store."""
+        self.engines.fatal_part = FATAL_PART
+        await self.run_load(4.0)
+        self.site.store.fault = StoreFault.BUSY
+        away_at = time.monotonic()
+        await self.run_load(4.0)
+        late = self.late_arrivals(away_at)
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS)
+
+
+class TestCutDomain(QuarantineCase):
+    """The VMs of one failure domain lose their path to the store."""
+
+    vm_count = 6
+
+    async def asyncSetUp(self) -> None:
+        """Start two VMs in each domain, those of the last behind a proxy."""
+        self.path = LinkProxy('')
+        await super().asyncSetUp()
+        self.cut = tuple(vm for vm in self.site.ports if vm[0] == DOMAINS[-1])
+
+    async def asyncTearDown(self) -> None:
+        """Stop everything and the proxy."""
+        await super().asyncTearDown()
+        await self.path.stop()
+
+    async def add_vm(self, number: int, store_address: str = '') -> str:
+        """Start a gateway, behind the proxy if it is in the last domain."""
+        if not self.path.address:
+            self.path = LinkProxy(self.site.store.address)
+            await self.path.start()
+        behind = number % len(DOMAINS) == len(DOMAINS) - 1
+        address = self.path.address if behind else ''
+        return await super().add_vm(number, address)
+
+    async def test_returning_vms_send_no_more_of_the_part(self) -> None:
+        """Guards against VMs that missed the reports during a cut."""
+        self.path.set_open(is_open=False)
+        self.engines.fatal_part = FATAL_PART
+        connected = tuple(vm for vm in self.site.ports if vm not in self.cut)
+        await self.run_load(5.0, vms=connected)
+        self.assertLessEqual(len(self.late_arrivals()), MAX_LATE_ARRIVALS)
+        self.path.set_open(is_open=True)
+        await asyncio.sleep(STABLE_S)
+        returned_at = time.monotonic()
+        await self.run_load(4.0, vms=self.cut)
+        late = self.late_arrivals(returned_at)
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS)
+
+    async def test_cut_vms_pool_their_ends_after_the_cut(self) -> None:
+        """Guards against reports that a cut VM forgets."""
+        self.path.set_open(is_open=False)
+        self.engines.fatal_part = FATAL_PART
+        await self.run_load(4.0, fatal_per_s=1.5, vms=self.cut)
+        self.path.set_open(is_open=True)
+        await asyncio.sleep(STABLE_S)
+        returned_at = time.monotonic()
+        await self.run_load(4.0)
+        late = self.late_arrivals(returned_at)
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS)
+
+
+class TestStartingVm(QuarantineCase):
+    """A VM that has just started."""
+
+    vm_count = 3
+
+    async def test_starting_vm_knows_the_quarantine(self) -> None:
+        """Guards against a VM that ends targets until it has seen it."""
+        self.engines.fatal_part = FATAL_PART
+        await self.run_load(4.0)
+        vm = await self.add_vm(self.vm_count)
+        started_at = time.monotonic()
+        replies = [
+            await self.prompt(vm, '/ask/1', FIRST_PART, FATAL_PART)
+            for _ in range(10)
+        ]
+        self.assertEqual({reply.status for reply in replies}, {503})
+        self.assertEqual(self.late_arrivals(started_at), [])
+        sound = await self.prompt(vm, '/ask/1', FIRST_PART, 'subject-1')
+        self.assertEqual(sound.status, 200)
+
+    async def test_refusal_is_immediate_and_true(self) -> None:
+        """Guards against refusals that wait, or that callers don't trust."""
+        self.engines.fatal_part = FATAL_PART
+        await self.run_load(4.0)
+        vm = next(iter(self.site.ports))
+        arrivals = len(self.engines.arrivals)
+        asked_at = time.monotonic()
+        reply = await self.prompt(vm, '/talk/1', FIRST_PART, FATAL_PART)
+        self.assertLess(time.monotonic() - asked_at, 0.5)
+        self.assertEqual(reply.status, 503)
+        self.assertIn(QUARANTINED, reply.body)
+        self.assertIn('retry-after', reply.headers)
+        self.assertEqual(len(self.engines.arrivals), arrivals)
+
+
+class TestOtherEnds(QuarantineCase):
+    """Targets that end for reasons of their own."""
+
+    async def test_parts_on_killed_targets_are_served(self) -> None:
+        """Guards against innocent prompts that are refused."""
+        load = asyncio.create_task(self.run_load(9.0, fatal_per_s=0))
+        for _ in range(12):
+            await asyncio.sleep(0.5)
+            engine = self.rng.choice(self.engines.live)
+            self.engines.end(engine, fatal=False)
+        await asyncio.sleep(1.5)
+        settled_at = time.monotonic()
+        await load
+        self.assertGreater(self.sound_share(settled_at), LEAST_SOUND_SHARE)
+        self.assertEqual(self.refused, 0)
+
+    async def test_parts_are_served_after_all_targets_ended_at_once(
+        self,
+    ) -> None:
+        """Guards against a shared part that stays in quarantine."""
+        load = asyncio.create_task(self.run_load(9.0, fatal_per_s=0))
+        await asyncio.sleep(1)
+        for engine in self.engines.live:
+            self.engines.end(engine, fatal=False)
+        await asyncio.sleep(6)
+        settled_at = time.monotonic()
+        await load
+        self.assertGreater(self.sound_share(settled_at), LEAST_SOUND_SHARE)
+
+    async def test_reset_connections_are_no_ends(self) -> None:
+        """Guards against reports on targets that are still there."""
+        load = asyncio.create_task(self.run_load(6.0, fatal_per_s=0))
+        for _ in range(8):
+            await asyncio.sleep(0.5)
+            for engine in self.engines.live:
+                engine.server.break_connections()
+        await load
+        self.assertEqual(self.refused, 0)
+        keys = self.site.store.content.items
+        reports = [key for key in keys if key.startswith('fuchsiafork/quar')]
+        self.assertEqual(reports, [])
