Watch for notices with calls that wait less

An answer of the store that is lost leaves its channel open, so that a VM learns of it only when the watch call times out, 16.5 s after its start: until then the VM knows no part that went into quarantine. Calls wait 5 s now, and 1 s for a minute after a notice.

--- a/fuchsiafork/gateway/prompt_quarantine.py
+++ b/fuchsiafork/gateway/prompt_quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import random
 from typing import Any
 
@@ -35,7 +36,12 @@
 END_CHECK_TIMEOUT_S = 0.3
 # Time in which answers that begin elsewhere acquit parts, before a report.
 COLLECTION_S = 0.4
-EXPIRY_INTERVAL_S = 30.0
+EXPIRY_INTERVAL_S = 10.0
+# Time that a watch call waits for notices: shorter after each notice, since the
+# next one may put a part into quarantine, and its answer may be lost.
+CALM_WAIT_S = 5.0
+ALERT_WAIT_S = 1.0
+ALERT_S = 60.0
 RETRY_AFTER_S = 2.0
 
 
@@ -64,6 +70,8 @@
         self.listed = False
         self._writer = writer
         self._watcher = watcher
+        self._watcher.wait_s = CALM_WAIT_S
+        self._alert_until = -math.inf
         self._targets = targets
         self._clock = clock
         self._rng = rng
@@ -85,7 +93,10 @@
         while True:
             await self._wait_for_work()
             self._queue_acquittals()
-            self._evidence.expire(self._clock.now())
+            now = self._clock.now()
+            self._evidence.expire(now)
+            if now >= self._alert_until:
+                self._watcher.wait_s = CALM_WAIT_S
             self._metrics.quarantined_parts.set(len(self._evidence))
 
     def check(self, parts: tuple[str, ...]) -> None:
@@ -273,6 +284,7 @@
     def _apply(self, notice: Notice, revision: int) -> None:
         """Apply a notice to the evidence."""
         now = self._clock.now()
+        self._alert()
         if notice.kind is NoticeKind.ENDED:
             self._add_end(notice.lifetime, notice.parts, revision)
         elif notice.kind is NoticeKind.QUARANTINED:
@@ -290,6 +302,11 @@
             if released:
                 self._log.warning('parts_released', parts=','.join(released))
 
+    def _alert(self) -> None:
+        """Watch for further notices with calls that wait less."""
+        self._alert_until = self._clock.now() + ALERT_S
+        self._watcher.wait_s = ALERT_WAIT_S
+
     def _add_end(
         self,
         lifetime: str,
--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -9,7 +9,7 @@
 from fuchsiafork.kernel.errors import StoreUnavailableError
 from fuchsiafork.platform.store import Changes, HistoryGoneError, PlatformStore
 
-# Time that a watch call waits for a change.
+# Time that a watch call waits for a change, unless it is set otherwise.
 WATCH_WAIT_S = 15.0
 # Mean delay between two calls while the store doesn't answer.
 RETRY_DELAY_S = 0.3
@@ -31,6 +31,8 @@
     :ivar connection_changed_at: time at which the connection to the store was
         last lost or restored, seconds.
     :ivar last_contact_at: time of the last answer, seconds.
+    :ivar wait_s: seconds for which the next calls wait for a change. A call
+        whose answer is lost is repeated only after that.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         """
         self._newest_only = newest_only
         self._batch_interval_s = batch_interval_s
+        self.wait_s = WATCH_WAIT_S
         self.connected = False
         self.connection_changed_at = clock.now()
         self.last_contact_at = clock.now()
@@ -95,7 +98,7 @@
         if listed:
             # The first watch after a loss returns at once, to detect that the
             # store answers again.
-            wait_s = WATCH_WAIT_S if self.connected else 0.0
+            wait_s = self.wait_s if self.connected else 0.0
             changes = await self._store.watch(
                 self._prefix,
                 self._revision,
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -142,6 +142,8 @@
         connection is aborted instead of an answer.
     :ivar lost_write_delay_s: seconds after the abort at which such a write
         takes effect; 0 applies it before the abort.
+    :ivar lost_watches: number of next answers to a watch that are lost with
+        the connection left open.
     :ivar page_size: items in one page of a range read.
     :ivar calls: number of calls by path.
     """
@@ -152,6 +154,7 @@
         self.fault = StoreFault.NONE
         self.lost_answers = 0
         self.lost_write_delay_s = 0.0
+        self.lost_watches = 0
         self.page_size = 500
         self.calls: collections.Counter[str] = collections.Counter()
         self._clock = clock
@@ -194,12 +197,22 @@
         body = json.loads(request.body) if request.body else {}
         self.content.expire()
         status, answer = await self._dispatch(request.path, query, body)
+        if self._loses(request.path, answer):
+            await asyncio.sleep(60)
         if status < 0:
             caller.abort()
             return
         headers = [('content-type', 'application/json')]
         caller.answer(status, headers, json.dumps(answer).encode())
 
+    def _loses(self, path: str, answer: Any) -> bool:
+        """Return whether the answer to a watch with changes is lost."""
+        lost = path.endswith('watch') and self.lost_watches > 0
+        if not lost or not answer.get('events'):
+            return False
+        self.lost_watches -= 1
+        return True
+
     async def _dispatch(
         self,
         path: str,
--- a/tests/test_quarantine_troubles.py
+++ b/tests/test_quarantine_troubles.py
@@ -3,8 +3,10 @@
 import asyncio
 import time
 
+from standins.engine_fleet import prompt_headers
 from standins.link_proxies import LinkProxy
 from standins.platform_store import StoreFault
+from tests.gateway_case import GatewayCase
 from tests.quarantine_case import (
     DOMAINS,
     FATAL_PART,
@@ -45,6 +47,35 @@
         self.assertLessEqual(len(late), MAX_LATE_ARRIVALS)
 
 
+class TestLostAnswers(GatewayCase):
+    """The store loses the answer to a watch."""
+
+    def report(self, number: int, kind: str = 'ended') -> None:
+        """Write a notice of another VM on the end of a target."""
+        notice = {
+            'kind': kind,
+            'parts': [FATAL_PART],
+            'lifetime': f't-{number}@0',
+            'probe': number if kind == 'probed' else 0,
+        }
+        self.store.put(f'fuchsiafork/quarantine/{kind}/{number}', notice)
+
+    async def test_lost_notices_are_read_again_in_time(self) -> None:
+        """Guards against a VM that waits for an answer that was lost."""
+        self.report(1)
+        await asyncio.sleep(1)
+        self.store.lost_watches = 1
+        self.report(2)
+        self.report(3)
+        self.report(1, 'probed')
+        await asyncio.sleep(STABLE_S)
+        self.assertEqual(self.store.lost_watches, 0)
+        headers = prompt_headers(FATAL_PART, 'own')
+        reply = await self.call_engine(**headers)
+        self.assertEqual(reply.status, 503)
+        self.assertIn(QUARANTINED, reply.body)
+
+
 class TestCutDomain(QuarantineCase):
     """The VMs of one failure domain lose their path to the store."""
 
