--- a/measurements/__main__.py
+++ b/measurements/__main__.py
@@ -10,6 +10,7 @@
     'capacity',
     'demo',
     'outcomes',
+    'quarantine',
     'rollouts',
     'slow_readers',
     'stop',
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -146,6 +146,8 @@
         the connection left open.
     :ivar page_size: items in one page of a range read.
     :ivar calls: number of calls by path.
+    :ivar watches: number of watch calls by prefix.
+    :ivar watched_bytes: size of the answers to watches by prefix.
     """
 
     def __init__(self, clock: Clock, writes_per_s: int = 400) -> None:
@@ -157,6 +159,8 @@
         self.lost_watches = 0
         self.page_size = 500
         self.calls: collections.Counter[str] = collections.Counter()
+        self.watches: collections.Counter[str] = collections.Counter()
+        self.watched_bytes: collections.Counter[str] = collections.Counter()
         self._clock = clock
         self._writes_per_s = writes_per_s
         self._writes: collections.deque[float] = collections.deque()
@@ -203,7 +207,9 @@
             caller.abort()
             return
         headers = [('content-type', 'application/json')]
-        caller.answer(status, headers, json.dumps(answer).encode())
+        content = json.dumps(answer).encode()
+        self.watched_bytes[query.get('prefix', '')] += len(content)
+        caller.answer(status, headers, content)
 
     def _loses(self, path: str, answer: Any) -> bool:
         """Return whether the answer to a watch with changes is lost."""
@@ -262,6 +268,7 @@
 
     async def _watch(self, query: dict[str, str], body: Any) -> Answer:
         """Wait for changes under a prefix and return them, none at timeout."""
+        self.watches[query['prefix']] += 1
         after = int(query['after'])
         if after < self.content.compact_revision:
             return 410, {}
