Check again whether a target has ended when a connection times out

One lost packet made the check of a broken target time out, and the end was taken for a target that lives: it counted for nothing. Three attempts now. The test fails on the code before (no report is written).

--- a/fuchsiafork/gateway/prompt_quarantine.py
+++ b/fuchsiafork/gateway/prompt_quarantine.py
@@ -34,6 +34,9 @@
 # address.
 END_CHECK_DELAY_S = 0.05
 END_CHECK_TIMEOUT_S = 0.3
+# Attempts to connect, since packets may be lost; a target that stays silent is
+# cut off rather than gone.
+END_CHECKS = 3
 # Time in which answers that begin elsewhere acquit parts, before a report.
 COLLECTION_S = 0.4
 EXPIRY_INTERVAL_S = 10.0
@@ -221,11 +224,15 @@
         state = self._targets.get(target.target_id)
         if state is None or _lifetime(state.target) != _lifetime(target):
             return True
-        try:
-            connection = await connect(target.address, END_CHECK_TIMEOUT_S)
-        except ConnectError as error:
-            return not error.silent
-        connection.close()
+        for _ in range(END_CHECKS):
+            try:
+                connection = await connect(target.address, END_CHECK_TIMEOUT_S)
+            except ConnectError as error:
+                if not error.silent:
+                    return True
+            else:
+                connection.close()
+                return False
         return False
 
     def _schedule_acquittal(self, part: str, *, urgent: bool) -> None:
--- a/tests/test_quarantine_troubles.py
+++ b/tests/test_quarantine_troubles.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import time
+from unittest import mock
 
+from fuchsiafork.transport.client_connection import ConnectError
 from standins.engine_fleet import prompt_headers
 from standins.link_proxies import LinkProxy
 from standins.platform_store import StoreFault
+from standins.platform_targets import Behaviour
 from tests.gateway_case import GatewayCase
 from tests.quarantine_case import (
     DOMAINS,
@@ -163,6 +166,29 @@
         self.assertEqual(len(self.engines.arrivals), arrivals)
 
 
+class TestLostPackets(GatewayCase):
+    """Packets to a target are lost."""
+
+    async def test_end_is_reported_though_a_connection_times_out(self) -> None:
+        """Guards against an end that counts for nothing on a bad link."""
+        attempts = (
+            ConnectError('timed out', silent=True),
+            ConnectError('refused'),
+        )
+        for engine in self.engines:
+            engine.behaviour = Behaviour(no_answer=True)
+        module = 'fuchsiafork.gateway.prompt_quarantine'
+        with mock.patch(f'{module}.connect', side_effect=attempts):
+            await self.call_engine(**prompt_headers(FATAL_PART, 'own'))
+            await self.eventually(self.reports)
+
+    def reports(self) -> list[str]:
+        """Return the keys of the reports on ended targets."""
+        prefix = 'fuchsiafork/quarantine/'
+        keys = self.store.content.items
+        return [key for key in keys if key.startswith(prefix)]
+
+
 class TestOtherEnds(QuarantineCase):
     """Targets that end for reasons of their own."""
 
