Read and log the limits that targets name

No line and no metric told that a target had named a limit on the requests of all VMs, so that the hypotheses on LIMIT (not read, read by each VM for itself, read for new requests only) looked alike. The limit of each answer's head is recorded now, its changes are logged (limit_named, limit_ended, limit_invalid) and the limited targets are counted. Nothing acts on it yet.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -11,6 +11,7 @@
     OversizedEventError,
 )
 from fuchsiafork.gateway.target_call import AnswerHead, TargetCall
+from fuchsiafork.gateway.targets import Target
 from fuchsiafork.kernel import FuchsiaforkError
 from fuchsiafork.kernel.errors import (
     NoTargetError,
@@ -99,13 +100,17 @@
         account: str,
         event_tokens: int,
         on_begun: Callable[[tuple[str, ...]], None],
+        on_head: Callable[[Target, wire.ResponseMetadata], None],
     ) -> None:
         """
         Start before the first attempt.
 
         :param on_begun: called with the shared prompt parts when a target has
             begun to answer.
+        :param on_head: called with each target that answers, and with what
+            the head of its answer says.
         """
+        self._on_head = on_head
         self.may_have_run = False
         self._request = request
         self._caller = caller
@@ -195,6 +200,7 @@
     async def _relay_answer(self, call: TargetCall) -> Failure | None:
         """Return why the answer is not forwarded, None once it has been."""
         head = await self._read_head(call)
+        self._on_head(call.state.target, head.metadata)
         content_type = dict(head.headers).get('content-type', '')
         if head.success:
             _require_unaltered(head)
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -18,6 +18,7 @@
 from fuchsiafork.gateway.rollouts import RolloutController
 from fuchsiafork.gateway.shared_state import SharedState
 from fuchsiafork.gateway.store_feeds import TargetFeed
+from fuchsiafork.gateway.target_limits import TargetLimits
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
 from fuchsiafork.gateway.token_draws import TokenDraws
@@ -205,6 +206,7 @@
         prepaid_tokens=budgets.prepaid_tokens,
         rollouts=RolloutController(instance_id, store, clock, log),
         quarantine=quarantine,
+        target_limits=TargetLimits(targets, clock, dependencies.metrics, log),
     )
 
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -48,6 +48,11 @@
             'Prompt parts that no target may get but for a probe.',
             registry=self.registry,
         )
+        self.limited_targets = prom.Gauge(
+            'fuchsiafork_gateway_limited_targets',
+            'Targets that name a limit on the requests of all VMs.',
+            registry=self.registry,
+        )
         self.notices = prom.Counter(
             'fuchsiafork_gateway_notices',
             'Notices on prompt parts that were written, by kind.',
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -252,6 +252,7 @@
             ):
                 self._log.info('target_gone', target=target_id)
             self._shared.pool.sweep()
+            self._shared.target_limits.forget_gone()
             self._components.traffic.log_periodically(self._clock.now())
             self._flush_log()
             self._reload_changed()
--- a/fuchsiafork/gateway/prompt_quarantine.py
+++ b/fuchsiafork/gateway/prompt_quarantine.py
@@ -128,13 +128,13 @@
         if not self._evidence.quarantined(ids):
             return False
         probe = self._next_probe(ids)
-        if not await self._acquire(probe, _lifetime(target)):
+        if not await self._acquire(probe, target.lifetime):
             raise self._refusal([probe.part], 'another VM sends a probe')
         return True
 
     def may_repeat(self, parts: tuple[str, ...], target: Target) -> bool:
         """Return whether another target may get a prompt that broke."""
-        lifetime = _lifetime(target)
+        lifetime = target.lifetime
         return not any(
             self._evidence.is_suspected(part, lifetime)
             or self._collection.is_suspected(part, lifetime)
@@ -153,7 +153,7 @@
         """Record that a target broke off before it began to answer."""
         if not parts:
             return
-        end = self._collection.add(_lifetime(target), _ids(parts))
+        end = self._collection.add(target.lifetime, _ids(parts))
         if end is not None:
             task = asyncio.create_task(self._report(end, target))
             self._reports.add(task)
@@ -222,7 +222,7 @@
     async def _has_ended(self, target: Target) -> bool:
         """Return whether a target's process is gone."""
         state = self._targets.get(target.target_id)
-        if state is None or _lifetime(state.target) != _lifetime(target):
+        if state is None or state.target.lifetime != target.lifetime:
             return True
         for _ in range(END_CHECKS):
             try:
@@ -337,11 +337,6 @@
             )
 
 
-def _lifetime(target: Target) -> str:
-    """Return an id of one start of a target."""
-    return f'{target.target_id}@{target.started_unix_ms}'
-
-
 def _ids(parts: tuple[str, ...]) -> tuple[str, ...]:
     """Return the ids of parts in notices, with hashes for long ones."""
     return tuple(
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -98,6 +98,7 @@
             account=self._record.account,
             event_tokens=service.event_tokens if service else 0,
             on_begun=self._shared.quarantine.record_begun,
+            on_head=self._shared.target_limits.record_answer,
         )
         await self._send_to_targets(route, self._answer_relay)
 
--- a/fuchsiafork/gateway/shared_state.py
+++ b/fuchsiafork/gateway/shared_state.py
@@ -12,6 +12,7 @@
 from fuchsiafork.gateway.reachability import DomainReachability
 from fuchsiafork.gateway.retry_budget import RetryBudget
 from fuchsiafork.gateway.rollouts import RolloutController
+from fuchsiafork.gateway.target_limits import TargetLimits
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
 from fuchsiafork.kernel import Clock
@@ -41,5 +42,6 @@
     prepaid_tokens: PrepaidTokens
     rollouts: RolloutController
     quarantine: PromptQuarantine
+    target_limits: TargetLimits
     configuration: Configuration | None = None
     targets_last_contact_at: float = 0.0
--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -34,6 +34,11 @@
     leaving: bool = False
     started_unix_ms: int = 0
 
+    @property
+    def lifetime(self) -> str:
+        """Id of one start of the target."""
+        return f'{self.target_id}@{self.started_unix_ms}'
+
 
 @dataclasses.dataclass(slots=True)
 class TargetState:
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -1,12 +1,14 @@
 """Parses and builds the headers of requests and responses."""
 
 import dataclasses
+import re
 from collections.abc import Iterable, Sequence
 
 from fuchsiafork.platform import names
 
 _MS_PER_S = 1000
 _EMPTY = ''
+_DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
 # Headers that apply to a single connection, and headers that are set again for
 # the next one.
 _HOP_HEADERS = frozenset((
@@ -62,6 +64,9 @@
     :ivar has_mac: whether the target's MAC is present.
     :ivar encoded: whether an intermediary encoded the body.
     :ivar keep_alive: value of the ``keep-alive`` header.
+    :ivar rate_limit: requests a second that the target accepts from all VMs
+        together, None if it names no limit.
+    :ivar invalid_rate_limit: a limit that is no number, empty otherwise.
     """
 
     request_id: str
@@ -69,6 +74,8 @@
     has_mac: bool
     encoded: bool
     keep_alive: str
+    rate_limit: float | None = None
+    invalid_rate_limit: str = _EMPTY
 
 
 def parse_request_headers(headers: HeaderPairs) -> RequestMetadata:
@@ -121,12 +128,16 @@
     """Parse the headers of a response."""
     values = dict(headers)
     encoding = values.get('content-encoding', 'identity')
+    limit = values.get(names.RATE_LIMIT, _EMPTY).strip()
+    limit_valid = _DECIMAL.fullmatch(limit) is not None
     return ResponseMetadata(
         request_id=values.get(names.REQUEST_ID, _EMPTY),
         not_run=names.NOT_RUN in values,
         has_mac=names.ANSWER_MAC in values,
         encoded=encoding != 'identity',
         keep_alive=values.get('keep-alive', _EMPTY),
+        rate_limit=float(limit) if limit_valid else None,
+        invalid_rate_limit=_EMPTY if limit_valid else limit,
     )
 
 
--- a/fuchsiafork/platform/names.py
+++ b/fuchsiafork/platform/names.py
@@ -8,6 +8,8 @@
 ANSWER_MAC = 'x-response-seal'
 # Set on a refusal if the target did not run the request.
 NOT_RUN = 'x-not-executed'
+# Requests a second that a target in need accepts from all VMs together.
+RATE_LIMIT = 'server-limit'
 # Id of the only target that may accept the request; others refuse it.
 EXPECTED_TARGET = 'x-expect-instance'
 ACCOUNT = 'x-tenant'
