--- a/standins/engine_fleet.py
+++ b/standins/engine_fleet.py
@@ -28,6 +28,8 @@
     """
 
     at: float
+    target_id: str
+    request_id: str
     parts: tuple[str, ...]
 
 
@@ -61,7 +63,10 @@
     ) -> None:
         """Record the arrival and answer."""
         parts = prompt_parts(request.header('x-prompt-prefix'))
-        self._fleet.arrivals.append(Arrival(time.monotonic(), parts))
+        request_id = request.header('x-attempt-id')
+        self._fleet.arrivals.append(
+            Arrival(time.monotonic(), self.target_id, request_id, parts)
+        )
         await super()._serve(request, caller)
 
     async def _answer(
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -32,6 +32,7 @@
     :ivar no_answer: run the request and abort the connection.
     :ivar raw_response: bytes to send in place of any answer.
     :ivar trailing_bytes: bytes to send after a complete answer.
+    :ivar rate_limit: limit that each answer names, empty for none.
     """
 
     status: int = 200
@@ -45,6 +46,7 @@
     no_answer: bool = False
     raw_response: bytes = b''
     trailing_bytes: bytes = b''
+    rate_limit: str = ''
 
 
 class RawConnection(CallerConnection):
@@ -139,7 +141,8 @@
             caller.answer(421, [('x-instance-id', self.target_id)], b'')
             return
         if behaviour.not_run:
-            caller.answer(behaviour.status, [('x-not-executed', '1')], b'')
+            refused = [('x-not-executed', '1'), *_limit_headers(behaviour)]
+            caller.answer(behaviour.status, refused, b'')
             return
         run = Run(
             request.header('x-attempt-id'),
@@ -182,7 +185,7 @@
         request_id = request.header('x-attempt-id')
         if behaviour.crossed_answer_first:
             _write_raw(caller, _encode_answer('another-request', b'not yours'))
-        headers = [('x-attempt-id', request_id)]
+        headers = [('x-attempt-id', request_id), *_limit_headers(behaviour)]
         if not behaviour.omit_seal:
             headers.append(('x-response-seal', f'mac-{request_id}'))
         if behaviour.events:
@@ -214,6 +217,12 @@
         caller.finish()
 
 
+def _limit_headers(behaviour: Behaviour) -> list[tuple[str, str]]:
+    """Return the header with the limit, if there is one."""
+    limit = behaviour.rate_limit
+    return [('server-limit', limit)] if limit else []
+
+
 def _write_raw(caller: CallerConnection, data: bytes) -> None:
     """Send bytes without HTTP framing."""
     if isinstance(caller, RawConnection):
--- a/tests/test_quarantine_troubles.py
+++ b/tests/test_quarantine_troubles.py
@@ -9,9 +9,9 @@
 from standins.link_proxies import LinkProxy
 from standins.platform_store import StoreFault
 from standins.platform_targets import Behaviour
+from tests.fleet_case import DOMAINS
 from tests.gateway_case import GatewayCase
 from tests.quarantine_case import (
-    DOMAINS,
     FATAL_PART,
     FIRST_PART,
     MAX_ENDS,
