Watch for notices as rarely as for other items while there are none

It waits 15 s now, as the others do, and 1 s for a minute after a notice. What remains: a VM that loses the answer with the first notice learns of it 16.5 s later.

--- a/fuchsiafork/gateway/prompt_quarantine.py
+++ b/fuchsiafork/gateway/prompt_quarantine.py
@@ -9,7 +9,7 @@
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.notice_writer import NoticeWriter
 from fuchsiafork.gateway.targets import Target, TargetTable
-from fuchsiafork.gateway.watcher import Watcher
+from fuchsiafork.gateway.watcher import WATCH_WAIT_S, Watcher
 from fuchsiafork.kernel import Clock, stable_hash
 from fuchsiafork.kernel.errors import (
     NotConfiguredError,
@@ -40,9 +40,8 @@
 # Time in which answers that begin elsewhere acquit parts, before a report.
 COLLECTION_S = 0.4
 EXPIRY_INTERVAL_S = 10.0
-# Time that a watch call waits for notices: shorter after each notice, since the
-# next one may put a part into quarantine, and its answer may be lost.
-CALM_WAIT_S = 5.0
+# Time that a watch call waits after a notice: the next one may put a part into
+# quarantine, and its answer may be lost.
 ALERT_WAIT_S = 1.0
 ALERT_S = 60.0
 RETRY_AFTER_S = 2.0
@@ -73,7 +72,6 @@
         self.listed = False
         self._writer = writer
         self._watcher = watcher
-        self._watcher.wait_s = CALM_WAIT_S
         self._alert_until = -math.inf
         self._targets = targets
         self._clock = clock
@@ -99,7 +97,7 @@
             now = self._clock.now()
             self._evidence.expire(now)
             if now >= self._alert_until:
-                self._watcher.wait_s = CALM_WAIT_S
+                self._watcher.wait_s = WATCH_WAIT_S
             self._metrics.quarantined_parts.set(len(self._evidence))
 
     def check(self, parts: tuple[str, ...]) -> None:
--- a/measurements/quarantine.py
+++ b/measurements/quarantine.py
@@ -15,13 +15,13 @@
 from standins.platform_site import PlatformSite
 
 FLEETS = (8, 74)
-CALM_S = 10.0
+CALM_S = 15.0
 REPORTS = 5
 REPORT_INTERVAL_S = 1.0
 # Parts under suspicion in one report.
 PARTS = 12
 # Store calls in a calm time that are allowed for each VM, a second.
-MAX_CALM_CALLS_PER_S = 0.25
+MAX_CALM_CALLS_PER_S = 0.1
 # Calls that are allowed for each VM and report.
 MAX_CALLS_PER_REPORT = 3.0
 
