Issue permits for requests to targets that name a limit

A VM that was told asks for a permit before each request that would arrive there, repeats and resumed streams included. One of the VMs that hold grants, the first by rendezvous hashing for the target, issues the permits from a bucket that fills at the named rate and starts empty, so that a VM that takes over adds nothing. If it doesn't answer, the next one is asked. Without a permit the target is left out for as long as the answer says; if no target is left, the request is refused at once (2208, 503, not run) with the time until the next permit as Retry-After. A part of the permits is kept for higher priorities. An answer without the header ends the limit, which is told to the issuers, and by them to the VMs that ask next.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -83,6 +83,7 @@
 class _Budgets:
     """The components that handle prepaid tokens."""
 
+    slots: HolderSlots
     peers: Peers
     prepaid_tokens: PrepaidTokens
     token_draws: TokenDraws
@@ -162,7 +163,7 @@
         settings.limits.link_mbps,
     )
     check = ClockCheck(time, allocator, peers, prepaid_tokens, rng, log)
-    return _Budgets(peers, prepaid_tokens, draws, election, check)
+    return _Budgets(slots, peers, prepaid_tokens, draws, election, check)
 
 
 def _make_shared_state(
@@ -206,7 +207,15 @@
         prepaid_tokens=budgets.prepaid_tokens,
         rollouts=RolloutController(instance_id, store, clock, log),
         quarantine=quarantine,
-        target_limits=TargetLimits(targets, clock, dependencies.metrics, log),
+        target_limits=TargetLimits(
+            dependencies.settings.peer_address,
+            budgets.slots,
+            budgets.peers,
+            targets,
+            clock,
+            dependencies.metrics,
+            log,
+        ),
     )
 
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -53,6 +53,12 @@
             'Targets that name a limit on the requests of all VMs.',
             registry=self.registry,
         )
+        self.permits = prom.Counter(
+            'fuchsiafork_gateway_permits',
+            'Permits asked for at limited targets, by decision.',
+            ('decision',),
+            registry=self.registry,
+        )
         self.notices = prom.Counter(
             'fuchsiafork_gateway_notices',
             'Notices on prompt parts that were written, by kind.',
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -48,6 +48,8 @@
 _BAD_REQUEST = 400
 _NOT_HOLDING = 409
 
+# Answers the content of a call of another VM; ValueError if it is invalid.
+Handler = Callable[[Any], Any]
 # Returns the tokens obtained for a client account within some seconds.
 Allot = Callable[[str, int, float], Coroutine[Any, Any, int]]
 
@@ -115,6 +117,7 @@
         self._log = log
         self._allot: Allot | None = None
         self._draw_records = DrawRecords(clock)
+        self._handlers: dict[str, Handler] = {}
         # Draws without an answer, by address: they may have been given.
         self._unanswered: dict[str, dict[str, float]] = {}
 
@@ -122,6 +125,22 @@
         """Set the function that obtains tokens for VMs without grants."""
         self._allot = allot
 
+    def register(self, path: str, handler: Handler) -> None:
+        """Answer calls of a path with a function."""
+        self._handlers[path] = handler
+
+    async def call(self, address: str, path: str, body: Any) -> Any:
+        """
+        Call another VM and return the content of its answer.
+
+        :raises PeerSilentError: if it doesn't answer in time, or refuses.
+        """
+        answer = await self._call(address, path, body)
+        if answer.status != _OK:
+            reason = f'{address} answered {answer.status}'
+            raise PeerSilentError(reason, sent=True)
+        return answer.body
+
     def is_silent(self, address: str) -> bool:
         """Return whether a VM has just failed to answer."""
         now = self._clock.now()
@@ -237,7 +256,7 @@
             caller.answer(_NOT_HOLDING, [], b'')
             return
         try:
-            answer = await self._handle_tokens(request)
+            answer = await self._handle(request)
         except (ValueError, TypeError, AttributeError) as error:
             self._log.warning('peer_unreadable', reason=repr(error))
             caller.answer(_BAD_REQUEST, [], b'')
@@ -245,7 +264,14 @@
             reason = json.dumps(str(error))
             caller.answer(error.status, [], reason.encode())
         else:
-            caller.answer(_OK, [], str(answer).encode())
+            caller.answer(_OK, [], json.dumps(answer).encode())
+
+    async def _handle(self, request: CallerRequest) -> Any:
+        """Return the answer to a call of another VM."""
+        handler = self._handlers.get(request.target)
+        if handler is not None:
+            return handler(json.loads(request.body))
+        return await self._handle_tokens(request)
 
     async def _handle_tokens(self, request: CallerRequest) -> int:
         """Transfer tokens to or from another VM; return how many."""
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -7,7 +7,11 @@
 from fuchsiafork.gateway.target_call import TargetCall
 from fuchsiafork.gateway.target_selection import SelectionCriteria
 from fuchsiafork.gateway.targets import TargetState
-from fuchsiafork.kernel.errors import NoTargetError
+from fuchsiafork.kernel.errors import (
+    FuchsiaforkError,
+    NoTargetError,
+    TargetsLimitedError,
+)
 
 # Targets that can't be connected to that one request tolerates.
 MAX_UNREACHED_TARGETS = 3
@@ -22,9 +26,15 @@
         answer_relay: AnswerRelay,
         record: RequestRecord,
         shared: SharedState,
+        priority: int,
     ) -> None:
-        """Start before the first attempt."""
+        """
+        Start before the first attempt.
+
+        :param priority: priority of the request, 0 is the highest.
+        """
         self._route = route
+        self._priority = priority
         self._answer_relay = answer_relay
         self._record = record
         self._shared = shared
@@ -47,7 +57,7 @@
         """
         failure: Failure | None = None
         while True:
-            state = self._select_target()
+            state = await self._acquire_target()
             if state is None or not self._within_retry_budget(failure):
                 break
             await self._admit(state)
@@ -58,14 +68,49 @@
             if not self._may_try_another(state, failure):
                 break
         if failure is None:
-            service = self._record.service
-            raise NoTargetError(
-                f'no target of service {service!r} is available'
-            )
+            raise self._no_target_error()
         if failure.answer is None:
             raise failure.error
         self._answer_relay.forward(failure.answer)
 
+    async def _acquire_target(self) -> TargetState | None:
+        """Return a target that may get a request now, None if there is none."""
+        limits = self._shared.target_limits
+        unanswered, self._unanswered_state = self._unanswered_state, None
+        if unanswered is not None:
+            if await limits.acquire(unanswered.target, self._priority):
+                return unanswered
+            self._tried_ids.append(unanswered.target.target_id)
+            if len(self._tried_ids) >= self._route.max_targets:
+                return None
+        while True:
+            state = self._select_target()
+            if state is None or await limits.acquire(
+                state.target, self._priority
+            ):
+                return state
+
+    def _no_target_error(self) -> FuchsiaforkError:
+        """Return the error for a request that was sent to no target."""
+        service = self._record.service
+        waits = [
+            wait_s
+            for state in self._shared.targets.accepting_targets(service)
+            if (wait_s := self._limit_wait_s(state))
+        ]
+        if waits:
+            return TargetsLimitedError(
+                f'{len(waits)} targets of service {service!r} accept no more '
+                'requests for now',
+                retry_after=min(waits),
+            )
+        return NoTargetError(f'no target of service {service!r} is available')
+
+    def _limit_wait_s(self, state: TargetState) -> float:
+        """Return the seconds for which a target's limit is used up."""
+        limits = self._shared.target_limits
+        return limits.wait_s(state.target, self._priority)
+
     async def _admit(self, state: TargetState) -> None:
         """
         Check that the target may get the prompt, if need be as a probe.
@@ -133,21 +178,27 @@
 
     def _select_target(self) -> TargetState | None:
         """Return the target for the next attempt, None if there is none."""
-        unanswered, self._unanswered_state = self._unanswered_state, None
-        if unanswered is not None:
-            return unanswered
         shared = self._shared
         service = self._record.service
-        criteria = SelectionCriteria(
-            service=service,
-            affinity_key=self._answer_relay.affinity_key,
-            excluded_ids=frozenset((*self._tried_ids, *self._unreached_ids)),
-        )
         states = shared.rollouts.eligible_targets(
             service,
             shared.targets.accepting_targets(service),
             self._version_sample,
         )
+        limited_ids = (
+            state.target.target_id
+            for state in states
+            if self._limit_wait_s(state)
+        )
+        criteria = SelectionCriteria(
+            service=service,
+            affinity_key=self._answer_relay.affinity_key,
+            excluded_ids=frozenset((
+                *self._tried_ids,
+                *self._unreached_ids,
+                *limited_ids,
+            )),
+        )
         return shared.target_selector.select(
             states, criteria, shared.clock.now()
         )
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -100,14 +100,17 @@
             on_begun=self._shared.quarantine.record_begun,
             on_head=self._shared.target_limits.record_answer,
         )
-        await self._send_to_targets(route, self._answer_relay)
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        await self._send_to_targets(route, self._answer_relay, priority)
 
     async def _send_to_targets(
-        self, route: Route, answer_relay: AnswerRelay
+        self, route: Route, answer_relay: AnswerRelay, priority: int
     ) -> None:
         """Send the request to targets until the deadline."""
         attempts = RequestAttempts(
-            route, answer_relay, self._record, self._shared
+            route, answer_relay, self._record, self._shared, priority
         )
         try:
             async with asyncio.timeout(self._remaining()):
--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -263,6 +263,14 @@
     retry_safe = True
 
 
+class TargetsLimitedError(FuchsiaforkError):
+    """The targets that are left accept no more requests for now."""
+
+    code = 2208
+    status = 503
+    retry_safe = True
+
+
 class TargetFailedError(FuchsiaforkError):
     """The target failed after it received the request."""
 
--- a/fuchsiafork/prepaid/holder_slots.py
+++ b/fuchsiafork/prepaid/holder_slots.py
@@ -94,6 +94,22 @@
         elif place in self._occupied:
             self._former[place] = self._occupied.pop(place)
 
+    def ranked_addresses(self, key: str) -> list[str]:
+        """
+        Return the addresses of all occupants for a key, this VM included.
+
+        All VMs that know the same occupants return the same order.
+        """
+        ranked: list[str] = []
+        for slots in (self._occupied.values(), self._former.values()):
+            by_vm = {
+                slot.occupant.vm: slot.occupant.address
+                for slot in slots
+                if slot.occupant
+            }
+            ranked += [by_vm[vm] for vm in rank(key, by_vm)]
+        return list(dict.fromkeys(ranked))
+
     def addresses_for(self, key: str) -> list[str]:
         """
         Return the occupants' addresses in the order in which to draw.
--- a/fuchsiafork/target_limits/named_limits.py
+++ b/fuchsiafork/target_limits/named_limits.py
@@ -57,6 +57,11 @@
         same = known is not None and known.rate == rate
         return LimitChange.NONE if same else LimitChange.NAMED
 
+    def end(self, lifetime: str, limit: NamedLimit) -> None:
+        """Forget a limit unless it was named again meanwhile."""
+        if self._limits.get(lifetime) == limit:
+            self._limits.pop(lifetime)
+
     def retain(self, lifetimes: Container[str]) -> None:
         """Forget the targets that are not among the given ones."""
         gone = [key for key in self._limits if key not in lifetimes]
