--- a/tests/limit_case.py
+++ b/tests/limit_case.py
@@ -6,7 +6,7 @@
 
 from standins.engine_fleet import BEGIN_S, FleetEngine
 from standins.platform_caller import Reply
-from tests.fleet_case import PATHS, FleetCase
+from tests.fleet_case import DOMAINS, PATHS, FleetCase
 
 PROMPTS_PER_S = 80.0
 SUBJECTS = 40
@@ -46,8 +46,15 @@
                 self.start(self._send(self.rng.choice(tuple(self.site.ports))))
                 sent += 1
 
-    def counted(self, engine: FleetEngine) -> list[float]:
-        """Return the times of arrivals from VMs that were told in time."""
+    def counted(
+        self, engine: FleetEngine, domains: str = DOMAINS, since: float = 0.0
+    ) -> list[float]:
+        """
+        Return the times of arrivals from VMs that were told in time.
+
+        :param domains: failure domains of the VMs to count.
+        :param since: time from which to count, seconds.
+        """
         named_at = self.named_at[engine.target_id]
         told: dict[str, float] = {}
         counted = []
@@ -56,13 +63,16 @@
                 continue
             vm = self.sent_to[arrival.request_id]
             told_at = told.setdefault(vm, arrival.at + BEGIN_S + TOLD_S)
-            if arrival.at >= max(told_at, named_at + STABLE_S):
+            late = arrival.at >= max(told_at, named_at + STABLE_S, since)
+            if late and vm[0] in domains:
                 counted.append(arrival.at)
         return counted
 
-    def most_in_window(self, engine: FleetEngine) -> int:
+    def most_in_window(
+        self, engine: FleetEngine, domains: str = DOMAINS, since: float = 0.0
+    ) -> int:
         """Return the most counted arrivals in any window."""
-        times = self.counted(engine)
+        times = self.counted(engine, domains, since)
         return max(
             (
                 bisect.bisect_left(times, at + WINDOW_S) - index
