Keep the fixed allowance of retries for the whole fleet, not for each VM

A VM's own requests allow a share of retries as before; each further one asks the VM that keeps the allowance of the service, found as the issuer of permits is. What calls the keeper of a limit, and the token bucket, serve both. If no VM answers there is no further retry.

The test of the budgets of eight VMs gave each its own fixed part and is replaced by one over 1 to 360 VMs with the same bound; the first failed request of a VM is still retried, and that is tested at each size.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -7,6 +7,8 @@
 
 from fuchsiafork.gateway.clocks import ClockCheck
 from fuchsiafork.gateway.control_traffic import ControlTraffic
+from fuchsiafork.gateway.fleet_limits import FleetLimits
+from fuchsiafork.gateway.fleet_retries import FleetRetries
 from fuchsiafork.gateway.holder_election import SLOTS_PREFIX, HolderElection
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.notice_writer import QUARANTINE_PREFIX, NoticeWriter
@@ -14,7 +16,7 @@
 from fuchsiafork.gateway.prepaid_tokens import PrepaidTokens
 from fuchsiafork.gateway.prompt_quarantine import PromptQuarantine
 from fuchsiafork.gateway.reachability import DomainReachability
-from fuchsiafork.gateway.retry_budget import RetryBudget
+from fuchsiafork.gateway.retry_budget import RetryLimits
 from fuchsiafork.gateway.rollouts import RolloutController
 from fuchsiafork.gateway.shared_state import SharedState
 from fuchsiafork.gateway.store_feeds import TargetFeed
@@ -177,6 +179,9 @@
     clock, rng, log = dependencies.clock, dependencies.rng, dependencies.log
     reachability = DomainReachability()
     targets = TargetTable()
+    fleet = FleetLimits(
+        dependencies.settings.peer_address, budgets.slots, budgets.peers, log
+    )
     quarantine = PromptQuarantine(
         writer,
         _make_watcher(
@@ -202,19 +207,15 @@
         target_selector=TargetSelector(
             dependencies.settings.domain, reachability, rng
         ),
-        retry_budget=make_retry_budget(dependencies.settings),
+        retries=FleetRetries(
+            make_retry_limits(dependencies.settings), fleet, clock
+        ),
         peers=budgets.peers,
         prepaid_tokens=budgets.prepaid_tokens,
         rollouts=RolloutController(instance_id, store, clock, log),
         quarantine=quarantine,
         target_limits=TargetLimits(
-            dependencies.settings.peer_address,
-            budgets.slots,
-            budgets.peers,
-            targets,
-            clock,
-            dependencies.metrics,
-            log,
+            fleet, targets, clock, dependencies.metrics, log
         ),
     )
 
@@ -250,10 +251,10 @@
     )
 
 
-def make_retry_budget(settings: VmSettings) -> RetryBudget:
-    """Return the retry budget that the settings allow."""
+def make_retry_limits(settings: VmSettings) -> RetryLimits:
+    """Return the limits on retries in the settings."""
     bounds = settings.bounds
-    return RetryBudget(
+    return RetryLimits(
         bounds.retry_ratio,
         bounds.retry_extra,
         bounds.retry_window_s,
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -6,7 +6,7 @@
 import signal
 from pathlib import Path
 
-from fuchsiafork.gateway.composition import compose, make_retry_budget
+from fuchsiafork.gateway.composition import compose, make_retry_limits
 from fuchsiafork.gateway.configuration import Configuration
 from fuchsiafork.gateway.pages import OperatorPages, ReadinessPage
 from fuchsiafork.gateway.request_handler import RequestHandler
@@ -276,7 +276,7 @@
             return
         self._settings = settings
         self._components.store.address = settings.store.address
-        self._shared.retry_budget = make_retry_budget(settings)
+        self._shared.retries.set_limits(make_retry_limits(settings))
         self._log.info('settings_reloaded', store=settings.store.address)
 
     def _reload_changed(self) -> None:
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -58,7 +58,7 @@
         failure: Failure | None = None
         while True:
             state = await self._acquire_target()
-            if state is None or not self._within_retry_budget(failure):
+            if state is None or not await self._may_retry(failure):
                 break
             await self._admit(state)
             failure = await self._attempt(state, deadline)
@@ -203,12 +203,11 @@
             states, criteria, shared.clock.now()
         )
 
-    def _within_retry_budget(self, failure: Failure | None) -> bool:
-        """Return whether the retry budget allows another attempt."""
+    async def _may_retry(self, failure: Failure | None) -> bool:
+        """Return whether the fleet may send another attempt."""
         if failure is None or not failure.possibly_sent:
             return True
-        now = self._shared.clock.now()
-        return self._shared.retry_budget.try_acquire(self._record.service, now)
+        return await self._shared.retries.try_acquire(self._record.service)
 
     def _handle_failure(self, state: TargetState, failure: Failure) -> None:
         """Exclude the target for this request and back off, as applicable."""
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -127,7 +127,7 @@
         record.account = account.name if account else ''
         record.service = route.pick_service(shared.rng)
         record.targets_age_s = now - shared.targets_last_contact_at
-        shared.retry_budget.count_request(record.service, now)
+        shared.retries.count_request(record.service)
 
     def _find_route(self, configuration: Configuration) -> Route:
         """Return the route of the request."""
--- a/fuchsiafork/gateway/retry_budget.py
+++ b/fuchsiafork/gateway/retry_budget.py
@@ -1,34 +1,41 @@
-"""Limits how often this process retries requests on another target."""
+"""Limits how often the fleet retries requests on another target."""
 
 import collections
+import dataclasses
+
+from fuchsiafork.target_limits import TokenBucket
 
 # Fraction of the fleet-wide allowance that is used. The margin is needed
 # because requests are not spread evenly over the VMs and calls of one window
 # may arrive in the next one.
 USED_FRACTION = 0.6
-# Number of VMs among which the fixed part of the allowance is divided.
-ASSUMED_FLEET_SIZE = 12
+# Part of the fixed allowance that may be used at once; the rest is added evenly
+# over a window.
+BURST_FRACTION = 0.5
 
 
-class RetryBudget:
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryLimits:
     """
-    Limits the retries of each service over a sliding window.
+    Retries of a service that the whole fleet may send.
 
-    The whole fleet may retry a fraction of its requests plus a fixed number.
-    Each VM enforces its part of this limit without coordination.
+    :ivar ratio: retries per request.
+    :ivar extra: fixed number of further retries per window.
+    :ivar window_s: length of the sliding window.
     """
 
-    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
-        """
-        Start with empty windows.
-
-        :param ratio: retries that the whole fleet may send per request.
-        :param extra: fixed number of retries per window for the whole fleet.
-        :param window_s: length of the sliding window.
-        """
-        self._ratio = ratio * USED_FRACTION
-        self._extra = extra * USED_FRACTION / ASSUMED_FLEET_SIZE
-        self._window_s = window_s
+    ratio: float
+    extra: float
+    window_s: float
+
+
+class RetryBudget:
+    """Limits this VM's retries of each service to a share of its requests."""
+
+    def __init__(self, limits: RetryLimits) -> None:
+        """Start with empty windows."""
+        self._ratio = limits.ratio * USED_FRACTION
+        self._window_s = limits.window_s
         self._requests: dict[str, collections.deque[float]] = {}
         self._retries: dict[str, collections.deque[float]] = {}
 
@@ -40,7 +47,7 @@
         """Count a retry and return True, or return False at the limit."""
         requests = len(self._window(self._requests, service, now))
         retries = self._window(self._retries, service, now)
-        if len(retries) + 1 > self._extra + self._ratio * requests:
+        if len(retries) + 1 > self._ratio * requests:
             return False
         retries.append(now)
         return True
@@ -56,3 +63,26 @@
         while times and times[0] <= now - self._window_s:
             times.popleft()
         return times
+
+
+class ExtraRetries:
+    """The fixed allowance of the fleet, as the VM that issues it keeps it."""
+
+    def __init__(self, limits: RetryLimits) -> None:
+        """Start with what may be used at once."""
+        used = limits.extra * USED_FRACTION
+        self._burst = used * BURST_FRACTION
+        self._rate = used * (1 - BURST_FRACTION) / limits.window_s
+        self._buckets: dict[str, TokenBucket] = {}
+
+    def acquire(self, service: str, now: float) -> bool:
+        """Count a retry of any VM; return False if the allowance is used up."""
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            bucket = TokenBucket(self._rate, self._burst, now, self._burst)
+            self._buckets[service] = bucket
+        bucket.advance(now)
+        return bucket.take()
+
+
+__all__ = ('ExtraRetries', 'RetryBudget', 'RetryLimits')
--- a/fuchsiafork/gateway/shared_state.py
+++ b/fuchsiafork/gateway/shared_state.py
@@ -5,12 +5,12 @@
 from typing import Any
 
 from fuchsiafork.gateway.configuration import Configuration
+from fuchsiafork.gateway.fleet_retries import FleetRetries
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.prepaid_tokens import PrepaidTokens
 from fuchsiafork.gateway.prompt_quarantine import PromptQuarantine
 from fuchsiafork.gateway.reachability import DomainReachability
-from fuchsiafork.gateway.retry_budget import RetryBudget
 from fuchsiafork.gateway.rollouts import RolloutController
 from fuchsiafork.gateway.target_limits import TargetLimits
 from fuchsiafork.gateway.target_selection import TargetSelector
@@ -37,7 +37,7 @@
     pool: ConnectionPool
     reachability: DomainReachability
     target_selector: TargetSelector
-    retry_budget: RetryBudget
+    retries: FleetRetries
     peers: Peers
     prepaid_tokens: PrepaidTokens
     rollouts: RolloutController
--- a/fuchsiafork/gateway/target_limits.py
+++ b/fuchsiafork/gateway/target_limits.py
@@ -4,12 +4,12 @@
 import dataclasses
 from typing import Any
 
+from fuchsiafork.gateway.fleet_limits import FleetLimits
 from fuchsiafork.gateway.metrics import GatewayMetrics
-from fuchsiafork.gateway.peers import Peers, PeerSilentError
+from fuchsiafork.gateway.peers import PeerSilentError
 from fuchsiafork.gateway.targets import Target, TargetTable
 from fuchsiafork.kernel import Clock
 from fuchsiafork.platform.headers import ResponseMetadata
-from fuchsiafork.prepaid import HolderSlots
 from fuchsiafork.target_limits import (
     Decision,
     LimitChange,
@@ -18,13 +18,12 @@
     Permit,
     PermitIssuer,
     PermitRequest,
+    encode_permit,
     read_permit,
     read_request,
 )
 
 PERMIT_PATH = '/permits'
-# VMs that are asked for one permit, while the first ones don't answer.
-MAX_ISSUERS_ASKED = 3
 # Time for which a target is left out if no VM could decide.
 UNKNOWN_WAIT_S = 0.5
 # Shortest time for which a target is left out after a refusal.
@@ -36,23 +35,14 @@
 
     def __init__(
         self,
-        own_address: str,
-        slots: HolderSlots,
-        peers: Peers,
+        fleet: FleetLimits,
         targets: TargetTable,
         clock: Clock,
         metrics: GatewayMetrics,
         log: Any,
     ) -> None:
-        """
-        Start without limits.
-
-        :param own_address: address of this VM for calls from others, IP:PORT.
-        :param slots: VMs that may issue permits.
-        """
-        self._own_address = own_address
-        self._slots = slots
-        self._peers = peers
+        """Start without limits."""
+        self._fleet = fleet
         self._targets = targets
         self._clock = clock
         self._metrics = metrics
@@ -62,7 +52,7 @@
         # End of the wait by lifetime and priority, seconds.
         self._blocked_until: dict[tuple[str, int], float] = {}
         self._reports: set[asyncio.Task[None]] = set()
-        peers.register(PERMIT_PATH, self._issue_for_peer)
+        fleet.register(PERMIT_PATH, self._issue)
 
     def record_answer(self, target: Target, metadata: ResponseMetadata) -> None:
         """Record what the head of an answer says of its target's limit."""
@@ -125,71 +115,45 @@
         self, lifetime: str, limit: NamedLimit, priority: int
     ) -> Permit:
         """Return the decision of the VM that issues a target's permits."""
-        for address in self._issuers(lifetime):
-            age_s = max(0.0, self._clock.now() - limit.named_at)
-            request = PermitRequest(lifetime, limit.rate, age_s, priority)
-            if address == self._own_address:
-                return self._issue(request)
-            try:
-                return read_permit(await self._call(address, request))
-            except (PeerSilentError, ValueError) as error:
-                self._log.info(
-                    'permit_unknown', issuer=address, reason=str(error)
-                )
-        return Permit(Decision.REFUSED, UNKNOWN_WAIT_S)
+        age_s = max(0.0, self._clock.now() - limit.named_at)
+        request = PermitRequest(lifetime, limit.rate, age_s, priority)
+        content = dataclasses.asdict(request)
+        answer = await self._fleet.call(lifetime, PERMIT_PATH, content)
+        try:
+            return read_permit(answer)
+        except ValueError as error:
+            self._log.info(
+                'permit_unknown', target=lifetime, reason=repr(str(error))
+            )
+            return Permit(Decision.REFUSED, UNKNOWN_WAIT_S)
 
     async def _report_end(self, lifetime: str) -> None:
         """Report the end of a limit to the VMs that may issue its permits."""
-        request = PermitRequest(lifetime, None)
-        for address in self._issuers(lifetime):
-            if address == self._own_address:
-                self._issue(request)
-                continue
+        content = dataclasses.asdict(PermitRequest(lifetime, None))
+        for address in self._fleet.addresses(lifetime):
             try:
-                await self._call(address, request)
+                await self._fleet.call_vm(address, PERMIT_PATH, content)
             except PeerSilentError as error:
                 self._log.info(
                     'limit_end_unreported', issuer=address, reason=str(error)
                 )
 
-    def _issuers(self, lifetime: str) -> list[str]:
-        """Return the VMs to ask, the same ones in the same order on all VMs."""
-        addresses = [
-            address
-            for address in self._slots.ranked_addresses(lifetime)
-            if not self._peers.is_silent(address)
-        ]
-        return addresses[:MAX_ISSUERS_ASKED] or [self._own_address]
-
-    async def _call(self, address: str, request: PermitRequest) -> Any:
+    def _issue(self, content: Any) -> Any:
         """
-        Send a request to another VM and return its answer.
+        Handle a request of any VM as the one that issues the permits.
 
-        :raises PeerSilentError: if it doesn't answer in time.
+        :raises ValueError: if it is invalid.
         """
-        body = dataclasses.asdict(request)
-        return await self._peers.call(address, PERMIT_PATH, body)
-
-    def _issue_for_peer(self, content: Any) -> Any:
-        """Handle a request of another VM."""
-        permit = self._issue(read_request(content))
-        return {
-            'decision': permit.decision.value,
-            'wait_s': round(permit.wait_s, 3),
-        }
-
-    def _issue(self, request: PermitRequest) -> Permit:
-        """Decide on a request as the VM that issues the permits."""
+        request = read_request(content)
         now = self._clock.now()
         if request.rate is None:
             self._issuer.end(request.lifetime, now)
-            return Permit(Decision.UNLIMITED)
-        return self._issuer.request(
-            request.lifetime,
-            request.rate,
-            now - request.age_s,
-            request.priority,
-            now,
+            return encode_permit(Permit(Decision.UNLIMITED))
+        named_at = now - request.age_s
+        return encode_permit(
+            self._issuer.request(
+                request.lifetime, request.rate, named_at, request.priority, now
+            )
         )
 
     def _unblock(self, lifetime: str) -> None:
--- a/fuchsiafork/target_limits/__init__.py
+++ b/fuchsiafork/target_limits/__init__.py
@@ -8,6 +8,7 @@
 
 from fuchsiafork.target_limits.messages import (
     PermitRequest,
+    encode_permit,
     read_permit,
     read_request,
 )
@@ -17,6 +18,7 @@
     NamedLimits,
 )
 from fuchsiafork.target_limits.permits import Decision, Permit, PermitIssuer
+from fuchsiafork.target_limits.token_bucket import TokenBucket
 
 __all__ = (
     'Decision',
@@ -26,6 +28,8 @@
     'Permit',
     'PermitIssuer',
     'PermitRequest',
+    'TokenBucket',
+    'encode_permit',
     'read_permit',
     'read_request',
 )
--- a/fuchsiafork/target_limits/messages.py
+++ b/fuchsiafork/target_limits/messages.py
@@ -64,4 +64,12 @@
     return Permit(model.decision, model.wait_s)
 
 
-__all__ = ('PermitRequest', 'read_permit', 'read_request')
+def encode_permit(permit: Permit) -> dict[str, Any]:
+    """Return the content of an answer."""
+    return {
+        'decision': permit.decision.value,
+        'wait_s': round(permit.wait_s, 3),
+    }
+
+
+__all__ = ('PermitRequest', 'encode_permit', 'read_permit', 'read_request')
--- a/fuchsiafork/target_limits/permits.py
+++ b/fuchsiafork/target_limits/permits.py
@@ -9,6 +9,8 @@
 import dataclasses
 import enum
 
+from fuchsiafork.target_limits.token_bucket import TokenBucket
+
 # Permits that a bucket holds at most: a number, and the permits of some time.
 MIN_BURST = 2.0
 BURST_S = 0.5
@@ -45,43 +47,35 @@
     wait_s: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Bucket:
+class _TargetBucket(TokenBucket):
     """
     Permits of one target.
 
-    :ivar rate: requests a second.
-    :ivar named_at: time at which a VM last saw it named, seconds.
-    :ivar permits: permits at hand.
-    :ivar waiting: requests that were told to come back and are still to come.
+    :ivar named_at: time at which a VM last saw the limit named, seconds.
     """
 
-    rate: float
-    named_at: float
-    updated_at: float
-    permits: float = 0.0
-    waiting: float = 0.0
-
-    @property
-    def burst(self) -> float:
-        """Most permits at hand."""
-        return max(MIN_BURST, self.rate * BURST_S)
-
-    def advance(self, now: float) -> None:
-        """Add the permits since the last request."""
-        added = max(0.0, now - self.updated_at) * self.rate
-        self.permits = min(self.burst, self.permits + added)
-        self.waiting = max(0.0, self.waiting - added)
-        self.updated_at = now
-
-    def request(self, priority: int) -> Permit:
+    def __init__(self, rate: float, named_at: float, now: float) -> None:
+        """Start without permits."""
+        super().__init__(rate, _burst(rate), now)
+        self.named_at = named_at
+        # Requests that were told to come back and are still to come.
+        self._waiting = 0.0
+
+    def set_rate(self, rate: float, named_at: float) -> None:
+        """Apply a limit unless a newer one is known."""
+        if named_at >= self.named_at:
+            self.named_at = named_at
+            self.rate = rate
+            self.burst = _burst(rate)
+
+    def request(self, priority: int, now: float) -> Permit:
         """Use a permit, unless the rest is kept for higher priorities."""
+        self._waiting = max(0.0, self._waiting - self.advance(now))
         reserve = PRIORITY_RESERVE * min(max(0, priority), LOWEST_PRIORITY)
-        if self.permits >= 1 + reserve:
-            self.permits -= 1
+        if self.take(1 + reserve):
             return Permit(Decision.GRANTED)
-        missing = 1 + reserve - self.permits + self.waiting
-        self.waiting += 1
+        missing = 1 + reserve - self.tokens + self._waiting
+        self._waiting += 1
         return Permit(Decision.REFUSED, min(MAX_WAIT_S, missing / self.rate))
 
 
@@ -90,7 +84,7 @@
 
     def __init__(self) -> None:
         """Start without buckets."""
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, _TargetBucket] = {}
         self._ended_at: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -120,13 +114,10 @@
         bounded = max(MIN_RATE_PER_S, rate)
         bucket = self._buckets.get(lifetime)
         if bucket is None:
-            bucket = _Bucket(bounded, named_at, now)
+            bucket = _TargetBucket(bounded, named_at, now)
             self._buckets[lifetime] = bucket
-        bucket.advance(now)
-        if named_at >= bucket.named_at:
-            bucket.named_at = named_at
-            bucket.rate = bounded
-        return bucket.request(priority)
+        bucket.set_rate(bounded, named_at)
+        return bucket.request(priority, now)
 
     def end(self, lifetime: str, now: float) -> None:
         """Record that a target has stopped naming a limit."""
@@ -151,4 +142,9 @@
             self._ended_at.pop(lifetime)
 
 
+def _burst(rate: float) -> float:
+    """Return the most permits at hand at a rate."""
+    return max(MIN_BURST, rate * BURST_S)
+
+
 __all__ = ('Decision', 'Permit', 'PermitIssuer')
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -5,7 +5,11 @@
 
 from fuchsiafork.gateway.event_stream import EventStreamParser
 from fuchsiafork.gateway.reachability import SUSPICION_S, DomainReachability
-from fuchsiafork.gateway.retry_budget import RetryBudget
+from fuchsiafork.gateway.retry_budget import (
+    ExtraRetries,
+    RetryBudget,
+    RetryLimits,
+)
 from fuchsiafork.gateway.target_selection import (
     SelectionCriteria,
     TargetSelector,
@@ -141,33 +145,65 @@
         self.assertFalse(self.reachability.is_suspected('b', 1.0))
 
 
-class TestRepeatBudget(unittest.TestCase):
+class TestRetryBudget(unittest.TestCase):
     """Limit on retries across the whole fleet."""
 
-    def test_fleet_stays_within_its_limit(self) -> None:
-        """Guards against shares of VMs that add up to more than the limit."""
-        ratio, extra, window_s, requests = 0.2, 56.0, 10.0, 2000
-        budgets = [RetryBudget(ratio, extra, window_s) for _ in range(8)]
+    def setUp(self) -> None:
+        """Set the limits of the fleet."""
+        self.limits = RetryLimits(ratio=0.2, extra=56, window_s=10)
+
+    def count_retries(self, vms: int, requests: int) -> int:
+        """Return the retries in a window if all requests fail once."""
+        budgets = [RetryBudget(self.limits) for _ in range(vms)]
+        extra = ExtraRetries(self.limits)
         retries = 0
         for step in range(requests):
-            now = step * window_s / requests
+            now = step * self.limits.window_s / requests
             budget = budgets[step % len(budgets)]
             budget.count_request('engine', now)
-            retries += budget.try_acquire('engine', now)
-        self.assertLessEqual(retries, ratio * requests + extra)
-        self.assertGreater(retries, ratio * requests / 3)
+            retries += budget.try_acquire('engine', now) or extra.acquire(
+                'engine', now
+            )
+        return retries
+
+    def test_fleet_stays_within_its_limit(self) -> None:
+        """Guards against shares of VMs that add up to more than the limit."""
+        for vms in (1, 8, 74, 360):
+            for requests in (10, 200, 2000):
+                retries = self.count_retries(vms, requests)
+                allowed = self.limits.ratio * requests + self.limits.extra
+                self.assertLessEqual(retries, allowed)
+
+    def test_small_fleet_uses_its_limit(self) -> None:
+        """Guards against a limit that is far below what is allowed."""
+        retries = self.count_retries(8, 2000)
+        self.assertGreater(retries, self.limits.ratio * 2000 / 3)
 
     def test_vm_with_few_requests_may_retry(self) -> None:
         """Guards against never retrying the first failed request."""
-        budget = RetryBudget(0.2, 56, 10)
-        budget.count_request('engine', 0)
-        self.assertTrue(budget.try_acquire('engine', 0))
+        for vms in (1, 8, 74, 360):
+            self.assertEqual(self.count_retries(vms, 1), 1)
+
+    def test_fixed_part_is_one_for_all_vms(self) -> None:
+        """Guards against a fixed part for each VM."""
+        extra = ExtraRetries(self.limits)
+        granted = [extra.acquire('engine', 0) for _ in range(100)]
+        self.assertLessEqual(granted.count(True), self.limits.extra)
+        self.assertGreater(granted.count(True), self.limits.extra / 5)
 
     def test_window_slides(self) -> None:
         """Guards against a budget that is never replenished."""
-        budget = RetryBudget(0.2, 56, 10)
-        allowed = [budget.try_acquire('engine', 0) for _ in range(10)]
+        extra = ExtraRetries(self.limits)
+        allowed = [extra.acquire('engine', 0) for _ in range(50)]
         self.assertFalse(allowed[-1])
+        self.assertTrue(extra.acquire('engine', 10.1))
+        budget = RetryBudget(self.limits)
+        for _ in range(10):
+            budget.count_request('engine', 0)
+        self.assertTrue(budget.try_acquire('engine', 0))
+        self.assertFalse(budget.try_acquire('engine', 0))
+        for _ in range(10):
+            budget.count_request('engine', 10.1)
         self.assertTrue(budget.try_acquire('engine', 10.1))
 
 
--- a/tests/test_target_limit_troubles.py
+++ b/tests/test_target_limit_troubles.py
@@ -29,7 +29,7 @@
         issued: dict[str, float] = {}
         for vm, gateway in self.site.gateways.items():
             limits = gateway._shared.target_limits
-            address = limits._issuers(lifetime)[0]
+            address = limits._fleet.addresses(lifetime)[0]
             if address == gateway._settings.peer_address:
                 issued[vm] = 1
         self.assertEqual(len(issued), 1)
