Ask the store once for a probe, and survive parts that are released meanwhile

Each prompt that waited on a VM when its part became due for a probe asked the store by itself (20 prompts, see the test), and a part that had been forgotten or released during that call was an error of the program, or a refusal without reason. A notice also keeps its key when the oldest one is dropped, so that it can't be mistaken for one that was written.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -135,11 +135,6 @@
         """Ids of the prompt parts that other requests may share."""
         return self._metadata.shared_parts
 
-    @property
-    def route_name(self) -> str:
-        """Name of the route."""
-        return self._route.name
-
     @property
     def _begun(self) -> bool:
         """Whether the target has sent an event in this attempt."""
--- a/fuchsiafork/gateway/notice_writer.py
+++ b/fuchsiafork/gateway/notice_writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import itertools
 import random
 from typing import Any
 
@@ -40,8 +41,11 @@
         self._rng = rng
         self._metrics = metrics
         self._log = log
-        self._unwritten: collections.deque[Notice] = collections.deque()
-        self._written = 0
+        # With the number in its key.
+        self._unwritten: collections.deque[tuple[int, Notice]] = (
+            collections.deque()
+        )
+        self._numbers = itertools.count()
         self._lease = 0
         self._lease_used_until = 0.0
         self._queued = asyncio.Event()
@@ -49,9 +53,9 @@
     def queue(self, notice: Notice) -> None:
         """Queue a notice; above the bound the oldest one is dropped."""
         if len(self._unwritten) >= MAX_UNWRITTEN_NOTICES:
-            dropped = self._unwritten.popleft()
+            _, dropped = self._unwritten.popleft()
             self._log.warning('notice_dropped', kind=dropped.kind.value)
-        self._unwritten.append(notice)
+        self._unwritten.append((next(self._numbers), notice))
         self._queued.set()
 
     async def run(self) -> None:
@@ -78,8 +82,9 @@
 
     async def _write_next(self) -> None:
         """Write the oldest notice; keep it if the store doesn't answer."""
-        notice = self._unwritten[0]
-        key = f'{QUARANTINE_PREFIX}{self._instance_id}/{self._written}'
+        oldest = self._unwritten[0]
+        number, notice = oldest
+        key = f'{QUARANTINE_PREFIX}{self._instance_id}/{number}'
         try:
             # A key that exists already was written by an earlier attempt.
             await self._write(key, notice)
@@ -87,8 +92,7 @@
             self._log.info('notice_unwritten', reason=str(error))
             await asyncio.sleep(RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
             return
-        self._written += 1
-        if self._unwritten and self._unwritten[0] is notice:
+        if self._unwritten and self._unwritten[0] is oldest:
             self._unwritten.popleft()
 
     async def _write(self, key: str, notice: Notice) -> int:
--- a/fuchsiafork/gateway/prompt_quarantine.py
+++ b/fuchsiafork/gateway/prompt_quarantine.py
@@ -81,6 +81,8 @@
         self._evidence = PartEvidence()
         self._collection = EndCollection()
         self._reports: set[asyncio.Task[None]] = set()
+        # Probes that the store is being asked for.
+        self._acquiring: set[Probe] = set()
         # Times at which to report that an answer has begun, by part.
         self._acquittals: dict[str, float] = {}
         self._scheduled = asyncio.Event()
@@ -126,9 +128,13 @@
         if not self._evidence.quarantined(ids):
             return False
         probe = self._next_probe(ids)
-        if not await self._acquire(probe, target.lifetime):
-            raise self._refusal([probe.part], 'another VM sends a probe')
-        return True
+        if await self._acquire(probe, target.lifetime):
+            return True
+        # The part may have been released meanwhile.
+        quarantined = self._evidence.quarantined(ids)
+        if quarantined:
+            raise self._refusal(quarantined, 'another request is the probe')
+        return False
 
     def may_repeat(self, parts: tuple[str, ...], target: Target) -> bool:
         """Return whether another target may get a prompt that broke."""
@@ -184,13 +190,18 @@
         )
 
     async def _acquire(self, probe: Probe, lifetime: str) -> bool:
-        """Return whether this VM may send a probe, which no other one may."""
+        """Return whether this request may be a probe, which no other one is."""
+        if probe in self._acquiring:
+            return False
         now = self._clock.now()
+        self._acquiring.add(probe)
         try:
             granted = await self._writer.acquire(probe, lifetime)
         except StoreUnavailableError as error:
             self._log.info('probe_unknown', part=probe.part, reason=str(error))
             return False
+        finally:
+            self._acquiring.discard(probe)
         self._evidence.record_probe(
             probe.part, probe.number, lifetime if granted else '', now
         )
--- a/fuchsiafork/quarantine/evidence.py
+++ b/fuchsiafork/quarantine/evidence.py
@@ -217,7 +217,9 @@
 
     def refuse(self, part: str, now: float) -> bool:
         """Record a refusal; return whether to announce the quarantine."""
-        suspect = self._suspects[part]
+        suspect = self._suspects.get(part)
+        if suspect is None:
+            return False
         suspect.news_at = now
         due = now >= suspect.announced_at + RENEWAL_S
         if due:
--- a/tests/test_quarantine_troubles.py
+++ b/tests/test_quarantine_troubles.py
@@ -131,6 +131,35 @@
         self.assertLessEqual(len(late), MAX_LATE_ARRIVALS)
 
 
+class TestProbes(GatewayCase):
+    """Prompts with a part in quarantine that is harmless."""
+
+    async def test_one_of_many_prompts_is_the_probe(self) -> None:
+        """Guards against one call of the store for each waiting prompt."""
+        for number in range(3):
+            notice = {
+                'kind': 'ended',
+                'parts': [FATAL_PART],
+                'lifetime': f't-{number}@0',
+            }
+            self.store.put(f'fuchsiafork/quarantine/x/{number}', notice)
+        await asyncio.sleep(1)
+        for engine in self.engines:
+            engine.behaviour = Behaviour(events=2, delay_s=0.2)
+        before = self.store.calls['/api/kv-txn']
+        headers = prompt_headers(FATAL_PART, 'own')
+        replies = await asyncio.gather(
+            *(self.call_engine(**headers) for _ in range(20))
+        )
+        statuses = [reply.status for reply in replies]
+        self.assertEqual(statuses.count(200), 1)
+        self.assertEqual(statuses.count(503), 19)
+        # The ledger is written meanwhile, too.
+        self.assertLessEqual(self.store.calls['/api/kv-txn'] - before, 5)
+        released = await self.call_engine(**headers)
+        self.assertEqual(released.status, 200)
+
+
 class TestStartingVm(QuarantineCase):
     """A VM that has just started."""
 
