Write the names of the limit events out in full

docs/OPERATIONS.md names limit_named and limit_ended, which were put together at run time and could not be found in the sources (test_operations_page_names_what_exists).

--- a/fuchsiafork/gateway/target_limits.py
+++ b/fuchsiafork/gateway/target_limits.py
@@ -68,7 +68,8 @@
         change = self._named.record_answer(lifetime, rate, now)
         if change is LimitChange.NONE:
             return
-        self._log.warning(f'limit_{change.value}', target=lifetime, rate=rate)
+        event = 'limit_ended' if rate is None else 'limit_named'
+        self._log.warning(event, target=lifetime, rate=rate)
         self._update_metrics()
         if change is LimitChange.ENDED:
             self._unblock(lifetime)
