Separate token requests from the calls between VMs

One class of 330 lines called other VMs, answered them, measured clocks and transferred tokens; the calls of fleet-wide limits had been added to it. Calls are in peers.py now, tokens in token_peers.py, and each path has a handler. Behaviour is otherwise the same; tests build the two classes, assertions are unchanged.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -24,6 +24,7 @@
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
 from fuchsiafork.gateway.token_draws import TokenDraws
+from fuchsiafork.gateway.token_peers import TokenPeers
 from fuchsiafork.gateway.watcher import BATCH_INTERVAL_S, Watcher
 from fuchsiafork.kernel import Clock, SystemClock
 from fuchsiafork.platform import names
@@ -146,15 +147,16 @@
     time = FleetTime(clock)
     allocator = TokenAllocator(instance_id, settings.peer_address, clock, time)
     allocator.holding = False
-    peers = Peers(
-        allocator, dependencies.pool, clock, log, dependencies.traffic.record
-    )
+    peers = Peers(dependencies.pool, clock, log, dependencies.traffic.record)
+    token_peers = TokenPeers(allocator, peers, clock, log)
     slots = HolderSlots(settings.vm, settings.domain)
-    draws = TokenDraws(settings.vm, allocator, slots, peers, clock, rng, log)
+    draws = TokenDraws(
+        settings.vm, allocator, slots, token_peers, clock, rng, log
+    )
     prepaid_tokens = PrepaidTokens(
-        allocator, peers, store, clock, rng, log, draws
+        allocator, token_peers, store, clock, rng, log, draws
     )
-    peers.set_allot(prepaid_tokens.allot)
+    token_peers.set_allot(prepaid_tokens.allot)
     election = HolderElection(
         slots,
         Occupant(settings.vm, settings.peer_address),
@@ -164,8 +166,14 @@
         log,
         settings.limits.link_mbps,
     )
-    check = ClockCheck(time, allocator, peers, prepaid_tokens, rng, log)
-    return _Budgets(slots, peers, prepaid_tokens, draws, election, check)
+    return _Budgets(
+        slots,
+        peers,
+        prepaid_tokens,
+        draws,
+        election,
+        ClockCheck(time, allocator, peers, prepaid_tokens, rng, log),
+    )
 
 
 def _make_shared_state(
--- a/fuchsiafork/gateway/fleet_limits.py
+++ b/fuchsiafork/gateway/fleet_limits.py
@@ -1,17 +1,18 @@
 """Calls the VM that keeps a limit of the whole fleet."""
 
-from collections.abc import Callable
 from typing import Any
 
-from fuchsiafork.gateway.peers import Peers, PeerSilentError
+from fuchsiafork.gateway.peers import (
+    OK_STATUS,
+    Handler,
+    Peers,
+    PeerSilentError,
+)
 from fuchsiafork.prepaid import HolderSlots
 
 # VMs that are asked while the first ones don't answer.
 MAX_VMS_ASKED = 3
 
-# Answers the content of a call; ValueError if it is invalid.
-Handler = Callable[[Any], Any]
-
 
 class FleetLimits:
     """
@@ -67,11 +68,15 @@
         """
         Return the answer of one VM, which may be this one.
 
-        :raises PeerSilentError: if it doesn't answer in time.
+        :raises PeerSilentError: if it doesn't answer in time, or refuses.
         """
         if address == self._own_address:
-            return self._handlers[path](content)
-        return await self._peers.call(address, path, content)
+            return await self._handlers[path](content)
+        answer = await self._peers.call(address, path, content)
+        if answer.status != OK_STATUS:
+            reason = f'{address} answered {answer.status}'
+            raise PeerSilentError(reason, sent=True)
+        return answer.body
 
 
 __all__ = ('FleetLimits',)
--- a/fuchsiafork/gateway/fleet_retries.py
+++ b/fuchsiafork/gateway/fleet_retries.py
@@ -56,7 +56,7 @@
             self._refused_until[service] = self._clock.now() + REFUSAL_S
         return granted
 
-    def _handle(self, content: Any) -> bool:
+    async def _handle(self, content: Any) -> bool:
         """
         Decide on a retry of any VM.
 
--- a/fuchsiafork/gateway/prepaid_tokens.py
+++ b/fuchsiafork/gateway/prepaid_tokens.py
@@ -7,8 +7,8 @@
 import random
 from typing import Any
 
-from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.token_draws import TokenDraws
+from fuchsiafork.gateway.token_peers import TokenPeers
 from fuchsiafork.kernel import Clock
 from fuchsiafork.kernel.errors import (
     BudgetExhaustedError,
@@ -62,7 +62,7 @@
     def __init__(
         self,
         allocator: TokenAllocator,
-        peers: Peers,
+        peers: TokenPeers,
         store: PlatformStore,
         clock: Clock,
         rng: random.Random,
--- a/fuchsiafork/gateway/target_limits.py
+++ b/fuchsiafork/gateway/target_limits.py
@@ -139,7 +139,7 @@
                     'limit_end_unreported', issuer=address, reason=str(error)
                 )
 
-    def _issue(self, content: Any) -> Any:
+    async def _issue(self, content: Any) -> Any:
         """
         Handle a request of any VM as the one that issues the permits.
 
--- a/fuchsiafork/gateway/token_draws.py
+++ b/fuchsiafork/gateway/token_draws.py
@@ -4,7 +4,8 @@
 import random
 from typing import Any
 
-from fuchsiafork.gateway.peers import Peers, PeerSilentError
+from fuchsiafork.gateway.peers import PeerSilentError
+from fuchsiafork.gateway.token_peers import TokenPeers
 from fuchsiafork.kernel import Clock
 from fuchsiafork.kernel.errors import BudgetUnreachableError
 from fuchsiafork.prepaid import HolderSlots, TokenAllocator
@@ -27,7 +28,7 @@
         vm: str,
         allocator: TokenAllocator,
         slots: HolderSlots,
-        peers: Peers,
+        peers: TokenPeers,
         clock: Clock,
         rng: random.Random,
         log: Any,
--- /dev/null
+++ b/fuchsiafork/gateway/token_peers.py
@@ -0,0 +1,200 @@
+"""Token requests between the VMs of the fleet."""
+
+import asyncio
+import dataclasses
+import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from fuchsiafork.gateway.peers import (
+    OK_STATUS,
+    CallLimits,
+    CallRefusedError,
+    Peers,
+    PeerSilentError,
+)
+from fuchsiafork.kernel import Clock
+from fuchsiafork.kernel.errors import BudgetExhaustedError
+from fuchsiafork.prepaid import TokenAllocator
+from fuchsiafork.prepaid.draw_records import RECORD_TTL_S, DrawRecords
+
+TOKENS_PATH = '/tokens'
+DRAW_PATH = '/tokens/draw'
+RETURN_PATH = '/tokens/return'
+CANCEL_PATH = '/tokens/cancel'
+# Limits of a draw, without which the request can't be served.
+DRAW_TIMEOUT_S = 0.3
+DRAW_BACKOFF_S = 0.5
+
+_NOT_HOLDING = 409
+_DRAW_LIMITS = CallLimits(DRAW_TIMEOUT_S, DRAW_BACKOFF_S)
+
+# Returns the tokens obtained for a client account within some seconds.
+Allot = Callable[[str, int, float], Coroutine[Any, Any, int]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draw:
+    """
+    A holder's answer to a request for tokens.
+
+    :ivar tokens: how many it gave.
+    :ivar reason: why it gave none, empty if it did.
+    """
+
+    tokens: int
+    reason: str = ''
+
+
+class TokenPeers:
+    """Asks other VMs for tokens, and gives them tokens of an allocator."""
+
+    def __init__(
+        self,
+        allocator: TokenAllocator,
+        peers: Peers,
+        clock: Clock,
+        log: Any,
+    ) -> None:
+        """Transfer tokens out of an allocator."""
+        self._allocator = allocator
+        self._peers = peers
+        self._clock = clock
+        self._log = log
+        self._allot: Allot | None = None
+        self._draw_records = DrawRecords(clock)
+        # Draws without an answer, by address: they may have been given.
+        self._unanswered: dict[str, dict[str, float]] = {}
+        peers.register(TOKENS_PATH, self._handle_tokens)
+        peers.register(DRAW_PATH, self._handle_draw)
+        peers.register(RETURN_PATH, self._handle_return)
+        peers.register(CANCEL_PATH, self._handle_cancel)
+
+    def set_allot(self, allot: Allot) -> None:
+        """Set the function that obtains tokens for VMs without grants."""
+        self._allot = allot
+
+    def is_silent(self, address: str) -> bool:
+        """Return whether a VM has just failed to answer."""
+        return self._peers.is_silent(address)
+
+    async def request_tokens(
+        self, address: str, account: str, tokens: int
+    ) -> int:
+        """Request tokens of another grant; return how many were given."""
+        try:
+            answer = await self._peers.call(
+                address, TOKENS_PATH, [account, tokens]
+            )
+        except PeerSilentError:
+            return 0
+        transferred = answer.body if answer.status == OK_STATUS else 0
+        return transferred if isinstance(transferred, int) else 0
+
+    async def draw(
+        self, address: str, account: str, tokens: int, wait_s: float
+    ) -> Draw:
+        """
+        Draw the tokens of a request from a holder.
+
+        :param wait_s: seconds that the holder may take to obtain more.
+        :raises BudgetExhaustedError: if the budget can't cover them.
+        :raises PeerSilentError: if the VM doesn't answer or is no holder.
+        """
+        draw_id = secrets.token_hex(8)
+        limits = CallLimits(DRAW_TIMEOUT_S + wait_s, DRAW_BACKOFF_S)
+        try:
+            answer = await self._peers.call(
+                address, DRAW_PATH, [account, tokens, wait_s, draw_id], limits
+            )
+        except PeerSilentError as error:
+            if error.sent:
+                self._record_unanswered(address, draw_id)
+            raise
+        except asyncio.CancelledError:
+            self._record_unanswered(address, draw_id)
+            raise
+        if answer.status == OK_STATUS and isinstance(answer.body, int):
+            return Draw(answer.body)
+        if answer.status == _NOT_HOLDING:
+            self._peers.back_off(address, DRAW_BACKOFF_S)
+            raise PeerSilentError(f'{address} holds no grants', sent=False)
+        if answer.status == BudgetExhaustedError.status:
+            raise BudgetExhaustedError(str(answer.body))
+        return Draw(0, f'holder {address}: {answer.body}')
+
+    async def cancel_unanswered(self) -> None:
+        """Cancel the draws that may have been given without an answer."""
+        oldest_kept = self._clock.now() - RECORD_TTL_S
+        for address in tuple(self._unanswered):
+            draws = {
+                draw_id: drawn_at
+                for draw_id, drawn_at in self._unanswered.pop(address).items()
+                if drawn_at >= oldest_kept
+            }
+            if not draws:
+                continue
+            try:
+                await self._peers.call(
+                    address, CANCEL_PATH, list(draws), _DRAW_LIMITS
+                )
+            except PeerSilentError:
+                self._unanswered.setdefault(address, {}).update(draws)
+
+    async def return_tokens(self, address: str, tokens: dict[str, int]) -> bool:
+        """Return unused tokens; False if they certainly did not arrive."""
+        try:
+            await self._peers.call(address, RETURN_PATH, tokens, _DRAW_LIMITS)
+        except PeerSilentError as error:
+            return error.sent
+        return True
+
+    def _record_unanswered(self, address: str, draw_id: str) -> None:
+        """Keep a draw that may have been given, to be cancelled."""
+        unanswered = self._unanswered.setdefault(address, {})
+        unanswered[draw_id] = self._clock.now()
+
+    async def _handle_tokens(self, content: Any) -> int:
+        """Give tokens of this VM's grant; return how many."""
+        account, tokens = content
+        transferred = self._allocator.transfer_out(str(account), int(tokens))
+        self._log.info('tokens_given', account=account, tokens=transferred)
+        return transferred
+
+    async def _handle_draw(self, content: Any) -> int:
+        """
+        Give tokens to a VM without grants; return how many.
+
+        :raises CallRefusedError: if this VM holds no grants either.
+        """
+        if not self._allocator.holding or self._allot is None:
+            raise CallRefusedError(_NOT_HOLDING)
+        account, tokens, wait_s, draw_id = content
+        given = await self._allot(str(account), int(tokens), float(wait_s))
+        if self._draw_records.record(str(draw_id), str(account), given):
+            return given
+        self._allocator.transfer_in(str(account), given)
+        return 0
+
+    async def _handle_return(self, content: Any) -> int:
+        """Take tokens that another VM did not use; return how many."""
+        for account, tokens in content.items():
+            self._allocator.transfer_in(str(account), int(tokens))
+        return sum(content.values())
+
+    async def _handle_cancel(self, content: Any) -> int:
+        """Take back the tokens of draws without an answer; return how many."""
+        cancelled = sum(self._cancel_draw(str(key)) for key in content)
+        self._log.info('draws_cancelled', draws=len(content), tokens=cancelled)
+        return cancelled
+
+    def _cancel_draw(self, draw_id: str) -> int:
+        """Take back the tokens of a draw; return how many."""
+        given = self._draw_records.cancel(draw_id)
+        if given is None:
+            return 0
+        self._allocator.transfer_in(given.account, given.tokens)
+        return given.tokens
+
+
+__all__ = ('DRAW_BACKOFF_S', 'Draw', 'TokenPeers')
--- a/tests/test_gateway_clocks.py
+++ b/tests/test_gateway_clocks.py
@@ -38,9 +38,7 @@
         allocator = mock.Mock(spec=TokenAllocator)
         allocator.peer_addresses = self.addresses
         pool = ConnectionPool(self.clock)
-        peers = Peers(
-            cast(TokenAllocator, allocator), pool, self.clock, self.log
-        )
+        peers = Peers(pool, self.clock, self.log)
         rng = random.Random(1)
         check = ClockCheck(
             self.time,
--- a/tests/test_gateway_prepaid_tokens.py
+++ b/tests/test_gateway_prepaid_tokens.py
@@ -12,6 +12,7 @@
     MAX_WRITE_ATTEMPTS,
     PrepaidTokens,
 )
+from fuchsiafork.gateway.token_peers import TokenPeers
 from fuchsiafork.kernel import SystemClock
 from fuchsiafork.kernel.errors import StoreUnavailableError
 from fuchsiafork.observability.logs import configure_logs
@@ -120,7 +121,12 @@
         allocator = TokenAllocator(
             holder, '127.0.0.1:1', clock, FleetTime(clock)
         )
-        peers = Peers(allocator, ConnectionPool(clock), clock, self.log)
+        peers = TokenPeers(
+            allocator,
+            Peers(ConnectionPool(clock), clock, self.log),
+            clock,
+            self.log,
+        )
         store = cast(PlatformStore, self.store)
         rng = random.Random(1)
         return PrepaidTokens(allocator, peers, store, clock, rng, self.log)
--- a/tests/test_gateway_token_draws.py
+++ b/tests/test_gateway_token_draws.py
@@ -6,13 +6,9 @@
 from typing import Any
 from unittest import mock
 
-from fuchsiafork.gateway.peers import (
-    DRAW_BACKOFF_S,
-    Draw,
-    Peers,
-    PeerSilentError,
-)
+from fuchsiafork.gateway.peers import PeerSilentError
 from fuchsiafork.gateway.token_draws import TokenDraws
+from fuchsiafork.gateway.token_peers import DRAW_BACKOFF_S, Draw, TokenPeers
 from fuchsiafork.kernel import SystemClock
 from fuchsiafork.kernel.errors import BudgetUnreachableError
 from fuchsiafork.prepaid import HolderSlots, Occupant, TokenAllocator
@@ -35,7 +31,7 @@
         """Guards against a refusal by a VM that holds no grants any more."""
         other = await self.site.add_gateway('a-2', 'a')
         address = other._settings.peer_address
-        peers = self.gateway._shared.peers
+        peers = self.gateway._shared.prepaid_tokens._peers
         # The election of the other VM would set it again at any moment.
         not_holding = mock.patch.object(
             TokenAllocator,
@@ -51,7 +47,7 @@
         other = await self.site.add_gateway('a-2', 'a')
         allocator = self.gateway._shared.prepaid_tokens._allocator
         address = self.gateway._settings.peer_address
-        caller = other._shared.peers
+        caller = other._shared.prepaid_tokens._peers
         answers = []
 
         async def lose_answer(*call: Any) -> None:
@@ -89,7 +85,7 @@
             slots.update(Slot('a', number, 1, Occupant(vm, f'{vm}:1')))
         self.allocator = mock.Mock(spec=TokenAllocator)
         self.allocator.available.return_value = 0
-        self.peers = mock.AsyncMock(spec=Peers)
+        self.peers = mock.AsyncMock(spec=TokenPeers)
         self.peers.is_silent = mock.Mock(return_value=False)
         self.clock = SystemClock()
         self.draws = TokenDraws(
