--- a/tests/test_gateway_large_fleet.py
+++ b/tests/test_gateway_large_fleet.py
@@ -137,7 +137,7 @@
         )
         survivor = next(vm for vm in VMS if vm not in holders)
         reply = await self.ask(survivor, 1000)
-        self.assertEqual(reply.status, 200)
+        self.assertEqual(reply.status, 200, reply.body)
 
     async def test_stopping_holder_gives_up_its_slot(self) -> None:
         """Guards against draws from a VM that is about to end."""
