Learn the target of another VM's probe

A VM that lost the race for a probe recorded it without its target and ignored the notice that names it, so that it didn't see that the probe had ended that target, and could send a second one 10 s later.

--- a/fuchsiafork/quarantine/evidence.py
+++ b/fuchsiafork/quarantine/evidence.py
@@ -207,9 +207,16 @@
     def record_probe(
         self, part: str, number: int, lifetime: str, now: float
     ) -> None:
-        """Record a probe that this VM or another one sends to a target."""
+        """
+        Record a probe that this VM or another one sends to a target.
+
+        :param lifetime: start of the target, empty if it isn't known yet.
+        """
         suspect = self._suspects.get(part)
-        if suspect is None or number <= suspect.probes:
+        if suspect is None or number < suspect.probes:
+            return
+        if number == suspect.probes:
+            suspect.probed_lifetime = suspect.probed_lifetime or lifetime
             return
         suspect.probes = number
         suspect.next_probe_at = now + PROBE_INTERVAL_S * 2 ** (number - 1)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -147,6 +147,12 @@
         self.assertEqual(self.probe(0, 't-1'), 1)
         self.assertEqual(self.probe(100 * PROBE_INTERVAL_S), 0)
 
+    def test_probe_of_another_vm_counts_once_its_target_is_known(self) -> None:
+        """Guards against a second probe of a VM that lost the first one."""
+        self.assertEqual(self.probe(0, ''), 1)
+        self.evidence.record_probe(PART, 1, 't-1', 1)
+        self.assertEqual(self.probe(100 * PROBE_INTERVAL_S), 0)
+
     def test_another_target_that_ended_meanwhile_allows_a_probe(self) -> None:
         """Guards against a sound part that stays after a mass failure."""
         self.assertEqual(self.probe(0), 1)
