--- a/fuchsiafork/target_limits/permits.py
+++ b/fuchsiafork/target_limits/permits.py
@@ -11,7 +11,8 @@
 
 from fuchsiafork.target_limits.token_bucket import TokenBucket
 
-# Permits that a bucket holds at most: a number, and the permits of some time.
+# Permits that a bucket holds at most: a number, or those of some time if these
+# are more.
 MIN_BURST = 2.0
 BURST_S = 0.5
 # A target that accepts nothing is tried at this rate, so that the end of its
