Give callers that are refused a permit a time to return of 0.1 s at least

The time until the next permit could be under half a millisecond, which came out as Retry-After: 0.000 (test_refusal_is_immediate_with_a_time_to_return, beside load).

--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -15,6 +15,8 @@
 
 # Targets that can't be connected to that one request tolerates.
 MAX_UNREACHED_TARGETS = 3
+# Shortest time after which a caller that was refused a permit may return.
+MIN_RETRY_AFTER_S = 0.1
 
 
 class RequestAttempts:
@@ -102,7 +104,7 @@
             return TargetsLimitedError(
                 f'{len(waits)} targets of service {service!r} accept no more '
                 'requests for now',
-                retry_after=min(waits),
+                retry_after=max(MIN_RETRY_AFTER_S, min(waits)),
             )
         return NoTargetError(f'no target of service {service!r} is available')
 
