Tell copies of a refusal from the answers of later requests

Cause: an error answer without a request id was taken as the answer of whatever request was in progress, and one with the id of a request that had been sent on the connection before as that of its repetition. A target that wrote a refusal once more on a kept connection made the gateway answer 503 or 400 for a request that ran.

Ruled out: closing each connection that carried a refusal. It costs a new connection for each refused request; with ids none is needed.

Change: an id goes out on a connection once. An answer without an id is believed only as the first one on a connection. A target that has sent one, and a request without an id, get new connections. Answers that are skipped are logged. A new connection that its target closes at once counts as not reached.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -190,7 +190,12 @@
             self._urgency,
         )
         require_fresh = not self._route.retryable
-        await call.send(self._request, headers, require_fresh=require_fresh)
+        await call.send(
+            self._request,
+            self._metadata.request_id,
+            headers,
+            require_fresh=require_fresh,
+        )
 
     async def _relay_answer(self, call: TargetCall) -> Failure | None:
         """Return why the answer is not forwarded, None once it has been."""
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -158,6 +158,13 @@
         """Release the resources of an attempt, even a cancelled one."""
         state.in_flight -= 1
         self._record.add_attempt(state.target.target_id, outcome)
+        if call.skipped_answers:
+            self._shared.log.warning(
+                'answers_skipped',
+                request_id=self._record.request_id,
+                target=state.target.target_id,
+                count=call.skipped_answers,
+            )
         call.release()
 
     def _record_outcome(
--- a/fuchsiafork/gateway/target_call.py
+++ b/fuchsiafork/gateway/target_call.py
@@ -12,6 +12,7 @@
 from fuchsiafork.transport.client_connection import (
     BrokenAnswerError,
     ClientConnection,
+    ConnectError,
 )
 from fuchsiafork.transport.pool import ConnectionPool, idle_limit_s
 
@@ -53,6 +54,7 @@
     One HTTP exchange with a target.
 
     :ivar sent: whether the target may have received part of the request.
+    :ivar skipped_answers: answers that belonged to no request or to another.
     """
 
     def __init__(
@@ -67,10 +69,12 @@
         self._first_byte_at = self._started_at
         self.state = state
         self.sent = False
+        self.skipped_answers = 0
         self._pool = pool
         self._connection: ClientConnection | None = None
         self._reused = False
         self._answered = False
+        self._discarding = False
 
     @property
     def answered(self) -> bool:
@@ -92,6 +96,7 @@
     async def send(
         self,
         request: CallerRequest,
+        request_id: str,
         headers: Headers,
         *,
         require_fresh: bool,
@@ -99,15 +104,19 @@
         """
         Send the request.
 
+        :param request_id: its id, empty if it has none.
         :param require_fresh: whether the connection must be new or have
             answered recently.
         :raises ConnectError: if no byte of it was sent.
         :raises BrokenAnswerError: if part of it may have been sent.
         """
         address = self.state.target.address
-        self._connection = await self._pool.acquire(
-            address, require_fresh=require_fresh
+        known_id = '' if self.state.omits_request_ids else request_id
+        self._connection = await self._pool.acquire_for(
+            address, known_id, require_fresh=require_fresh
         )
+        if not self._connection.open:
+            raise ConnectError(f'{address} closed the new connection')
         self._reused = self._connection.used
         if request.body:
             length = ('content-length', str(len(request.body)))
@@ -126,19 +135,24 @@
         """
         Return the head of the answer to the given request.
 
+        May be called again after a timeout.
+
         :raises BrokenAnswerError: if no such answer is received.
         """
         connection = self._require_connection()
-        for _ in range(MAX_MISMATCHED_ANSWERS):
+        if self._discarding:
+            await self._discard_answer(connection)
+        while self.skipped_answers < MAX_MISMATCHED_ANSWERS:
             event = await _next_final_head(connection)
             self._answered = True
             self._first_byte_at = self._clock.now()
             pairs = wire.decode_headers(event.headers)
             metadata = wire.parse_response_headers(pairs)
             head = AnswerHead(event.status_code, pairs, metadata)
-            if _matches_request(head, request_id):
+            if self._matches_request(head, request_id):
                 connection.idle_limit_s = idle_limit_s(metadata.keep_alive)
                 return head
+            self.skipped_answers += 1
             await self._discard_answer(connection)
         raise BrokenAnswerError('received only answers to other requests')
 
@@ -180,11 +194,27 @@
             raise BrokenAnswerError('the request was not sent')
         return self._connection
 
+    def _matches_request(self, head: AnswerHead, request_id: str) -> bool:
+        """
+        Return whether an answer belongs to the request.
+
+        An error may lack the request id. It is believed only as the first
+        answer on a connection: later it can be the copy of an earlier one.
+        """
+        answered_id = head.metadata.request_id
+        if answered_id or not request_id:
+            return answered_id == request_id
+        self.state.omits_request_ids = True
+        first = not self._reused and not self.skipped_answers
+        return first and not head.success
+
     async def _discard_answer(self, connection: ClientConnection) -> None:
         """Read and discard the rest of an answer to another request."""
+        self._discarding = True
         event = await connection.next_event()
         while isinstance(event, h11.Data):
             event = await connection.next_event()
+        self._discarding = False
         connection.restart_answer()
 
 
@@ -199,13 +229,3 @@
         if not isinstance(event, h11.InformationalResponse):
             return event
     raise BrokenAnswerError('too many informational answers')
-
-
-def _matches_request(head: AnswerHead, request_id: str) -> bool:
-    """
-    Return whether an answer belongs to the request.
-
-    Answers other than 2xx may omit the request id.
-    """
-    answered_id = head.metadata.request_id
-    return answered_id == request_id or (not answered_id and not head.success)
--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -51,6 +51,8 @@
     :ivar backoff_count: backoffs since the last attempt that did not fail, at
         most 8.
     :ivar avoid_until: end of the backoff, seconds.
+    :ivar omits_request_ids: whether it has sent an answer without the id of
+        its request, which only a new connection shows to belong to it.
     :ivar remove_at: time of removal unless the entry is registered again.
     """
 
@@ -59,6 +61,7 @@
     failure_share: float = 0.0
     backoff_count: int = 0
     avoid_until: float = -math.inf
+    omits_request_ids: bool = False
     remove_at: float | None = None
 
     def record_attempt(self, *, failed: bool) -> None:
--- a/fuchsiafork/transport/client_connection.py
+++ b/fuchsiafork/transport/client_connection.py
@@ -66,6 +66,7 @@
     Client side of one connection, which makes one call at a time.
 
     :ivar used: whether a call has been made on it.
+    :ivar request_ids: ids of the requests that were sent on it.
     :ivar idle_since: time of the end of the last call, seconds.
     :ivar idle_limit_s: time for which the server keeps it open while idle.
     """
@@ -73,6 +74,7 @@
     def __init__(self) -> None:
         """Create a connection that has no transport yet."""
         self.used = False
+        self.request_ids: set[str] = set()
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
         self._transport: asyncio.Transport | None = None
--- a/fuchsiafork/transport/pool.py
+++ b/fuchsiafork/transport/pool.py
@@ -15,6 +15,8 @@
 # recently, since a connection can stop working without a reset.
 FRESH_S = 0.4
 MAX_IDLE_PER_ADDRESS = 16
+# Requests on one connection, whose ids are kept.
+MAX_REQUESTS_PER_CONNECTION = 1000
 
 _TIMEOUT = re.compile(r'timeout=(\d+)')
 
@@ -49,10 +51,36 @@
             connection.close()
         return await connect(address, CONNECT_TIMEOUT_S)
 
+    async def acquire_for(
+        self, address: str, request_id: str, *, require_fresh: bool
+    ) -> ClientConnection:
+        """
+        Return a connection on which no earlier answer can pass for a new one.
+
+        It hasn't carried the request before, and nothing at all before a
+        request without an id, whose answer can't be told from others.
+
+        :param request_id: id of the request, empty if it has none.
+        :param require_fresh: as for ``acquire``.
+        :raises ConnectError: if none can be opened.
+        """
+        if not request_id:
+            return await connect(address, CONNECT_TIMEOUT_S)
+        connection = await self.acquire(address, require_fresh=require_fresh)
+        if request_id in connection.request_ids:
+            connection.close()
+            connection = await connect(address, CONNECT_TIMEOUT_S)
+        connection.request_ids.add(request_id)
+        return connection
+
     def release(self, address: str, connection: ClientConnection) -> None:
         """Keep a connection after its call, or close it if it is unusable."""
         idle = self._idle.setdefault(address, [])
-        if not connection.reusable or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        reusable = (
+            connection.reusable
+            and len(connection.request_ids) < MAX_REQUESTS_PER_CONNECTION
+        )
+        if not reusable or len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
         connection.idle_since = self._clock.now()
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -21,6 +21,9 @@
 
     :ivar status: HTTP status of the answers.
     :ivar not_run: refuse the request without executing it.
+    :ivar anonymous: leave out the request's id in a refusal.
+    :ivar repeat_refusal: write the refusal once more on the connection when
+        the next request arrives there, ahead of its answer.
     :ivar delay_s: seconds before the answer, and between events.
     :ivar events: number of events of a stream, 0 for a plain answer with a
         content length.
@@ -37,6 +40,8 @@
 
     status: int = 200
     not_run: bool = False
+    anonymous: bool = False
+    repeat_refusal: bool = False
     delay_s: float = 0.0
     events: int = 0
     truncate_after: int = -1
@@ -50,7 +55,21 @@
 
 
 class RawConnection(CallerConnection):
-    """A connection that can send bytes that are no valid answer."""
+    """
+    A connection that can send bytes that are no valid answer.
+
+    :ivar late_copy: bytes to send when the next request arrives.
+    :ivar used: whether a request has arrived.
+    """
+
+    late_copy = b''
+    used = False
+
+    def write_late_copy(self) -> None:
+        """Send the copy of an earlier answer, if there is one."""
+        copy, self.late_copy = self.late_copy, b''
+        if copy:
+            self.write_raw(copy)
 
     def write_raw(self, data: bytes) -> None:
         """Send bytes without HTTP framing."""
@@ -91,6 +110,7 @@
     :ivar next_behaviours: behaviours of the next requests, one each.
     :ivar runs: executions in order of their start.
     :ivar arrivals: number of requests received, also refused ones.
+    :ivar used_connections: connections on which requests were received.
     :ivar max_concurrent_runs: highest number of runs in progress at a time.
     """
 
@@ -101,6 +121,7 @@
         self.next_behaviours: collections.deque[Behaviour] = collections.deque()
         self.runs: list[Run] = []
         self.arrivals = 0
+        self.used_connections = 0
         self.max_concurrent_runs = 0
         self._service = service
         self._domain = domain
@@ -137,12 +158,15 @@
             if self.next_behaviours
             else self.behaviour
         )
+        if isinstance(caller, RawConnection):
+            self.used_connections += not caller.used
+            caller.used = True
+            caller.write_late_copy()
         if request.header('x-expect-instance') not in {'', self.target_id}:
             caller.answer(421, [('x-instance-id', self.target_id)], b'')
             return
         if behaviour.not_run:
-            refused = [('x-not-executed', '1'), *_limit_headers(behaviour)]
-            caller.answer(behaviour.status, refused, b'')
+            self._refuse(request, caller, behaviour)
             return
         run = Run(
             request.header('x-attempt-id'),
@@ -166,6 +190,21 @@
         finally:
             run.ended = True
 
+    def _refuse(
+        self,
+        request: CallerRequest,
+        caller: CallerConnection,
+        behaviour: Behaviour,
+    ) -> None:
+        """Refuse a request without running it."""
+        headers = [('x-not-executed', '1'), *_limit_headers(behaviour)]
+        request_id = request.header('x-attempt-id')
+        if request_id and not behaviour.anonymous:
+            headers.append(('x-attempt-id', request_id))
+        caller.answer(behaviour.status, headers, b'')
+        if behaviour.repeat_refusal and isinstance(caller, RawConnection):
+            caller.late_copy = _encode_refusal(behaviour.status, headers)
+
     async def _answer(
         self,
         request: CallerRequest,
@@ -246,6 +285,13 @@
     caller.abort()
 
 
+def _encode_refusal(status: int, headers: list[tuple[str, str]]) -> bytes:
+    """Return the bytes of a refusal."""
+    lines = [f'HTTP/1.1 {status} Refused', 'content-length: 0']
+    lines += [f'{name}: {text}' for name, text in headers]
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
 def _encode_answer(request_id: str, body: bytes) -> bytes:
     """Return the bytes of a complete answer to a request."""
     head = (
