Keep a silent target while no other one would get the request

Cause: each attempt at a retryable route was given up after a pause of 1 s, or of 3 times its objective before the head; the last one too, which nothing could replace. A stream that was slow but sound was cut at each target in turn. A first target was also given up when the retry that was to follow was refused.

Change: gateway/silence.py decides. A target is given up for silence only while the route allows another one, one accepts requests, and the fleet allows the retry; and once for the same place of a stream. Otherwise the time limit of the route is the bound. Comments of a stream no longer count as events, so that they are neither charged nor taken as the begin of an answer.

Streams that drip bytes, comments or events end at the limit of the route; they did before as well.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -1,15 +1,14 @@
 """Relays the answer of a target to the caller and classifies failures."""
 
-import asyncio
 import dataclasses
-from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar
+from collections.abc import Callable
 
 from fuchsiafork.gateway.configuration import Route
 from fuchsiafork.gateway.event_stream import (
     EventStreamParser,
     OversizedEventError,
 )
+from fuchsiafork.gateway.silence import Patience, read_patiently
 from fuchsiafork.gateway.target_call import AnswerHead, TargetCall
 from fuchsiafork.gateway.targets import Target
 from fuchsiafork.kernel import FuchsiaforkError
@@ -29,17 +28,10 @@
 
 # An answer other than an event stream is buffered whole, up to this size.
 MAX_BUFFERED_ANSWER_BYTES = 4_194_304
-# Time without data after which a retryable request is sent to another target:
-# a multiple of the route's objective, with a minimum.
-HEAD_TIMEOUT_FACTOR = 3.0
-MIN_HEAD_TIMEOUT_S = 1.0
-GAP_TIMEOUT_FACTOR = 4.0
-MIN_GAP_TIMEOUT_S = 1.0
 # Urgency rank of a prompt, 0 is the most urgent: one rank per this many tokens.
 TOKENS_PER_URGENCY_RANK = 1500
 LAST_URGENCY_RANK = 9
 
-_Read = TypeVar('_Read')
 _EVENT_STREAM = 'text/event-stream'
 # Statuses that tell the caller that its request was not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -121,6 +113,7 @@
         self._on_begun = on_begun
         self._event_parser = EventStreamParser()
         self._events_before_attempt = 0
+        self._patience = Patience(route)
 
     @property
     def affinity_key(self) -> str:
@@ -151,8 +144,14 @@
         self,
         call: TargetCall,
         remaining_s: float,
+        patience: Patience,
     ) -> Failure | None:
-        """Return why the attempt failed, None once the answer was sent."""
+        """
+        Return why the attempt failed, None once the answer was sent.
+
+        :param patience: decides how long the target may be silent.
+        """
+        self._patience = patience
         self._events_before_attempt = self._event_parser.event_count
         try:
             await self._send(call, remaining_s)
@@ -217,15 +216,13 @@
         return failure
 
     async def _read_head(self, call: TargetCall) -> AnswerHead:
-        """Return the answer's head, with a timeout if a retry is possible."""
+        """Return the answer's head."""
         request_id = self._metadata.request_id
-        if not self._can_retry:
-            return await call.read_head(request_id)
-        timeout_s = max(
-            MIN_HEAD_TIMEOUT_S,
-            HEAD_TIMEOUT_FACTOR * self._route.latency_objective_s,
+        return await read_patiently(
+            lambda: call.read_head(request_id),
+            self._patience,
+            self._patience.head_timeout_s(self._event_parser.event_count),
         )
-        return await read_with_timeout(timeout_s, call.read_head(request_id))
 
     @property
     def _urgency(self) -> int | None:
@@ -234,11 +231,6 @@
             return None
         return urgency_rank(self._metadata.prompt_tokens)
 
-    @property
-    def _can_retry(self) -> bool:
-        """Whether the route allows another attempt at another target."""
-        return self._route.retryable and self._route.max_targets > 1
-
     async def _relay_events(self, call: TargetCall, head: AnswerHead) -> None:
         """
         Forward complete events of a stream as they arrive.
@@ -274,13 +266,11 @@
 
     async def _read_chunk(self, call: TargetCall) -> bytes:
         """Return the next bytes of a stream, empty at its end."""
-        if not self._can_retry:
-            return await call.read_chunk()
-        timeout_s = max(
-            MIN_GAP_TIMEOUT_S,
-            GAP_TIMEOUT_FACTOR * self._route.event_gap_objective_s,
+        return await read_patiently(
+            call.read_chunk,
+            self._patience,
+            self._patience.gap_timeout_s(self._event_parser.event_count),
         )
-        return await read_with_timeout(timeout_s, call.read_chunk())
 
     def _send_head(self, head: AnswerHead) -> None:
         """Send the head of the answer unless it was sent already."""
@@ -350,21 +340,3 @@
         raise BrokenAnswerError(
             'the answer has no MAC or its encoding was changed'
         )
-
-
-async def read_with_timeout(
-    timeout_s: float, reading: Coroutine[Any, Any, _Read]
-) -> _Read:
-    """
-    Return the result of a read operation.
-
-    :raises BrokenAnswerError: if it takes longer than the timeout.
-    """
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await reading
-    except TimeoutError:
-        raise BrokenAnswerError(
-            f'no data for {timeout_s:.1f} s',
-            silent=True,
-        ) from None
--- a/fuchsiafork/gateway/event_stream.py
+++ b/fuchsiafork/gateway/event_stream.py
@@ -6,6 +6,8 @@
 
 _EVENT_ID = re.compile(rb'^id:[ ]?(\S+)[ ]*\r?$', re.MULTILINE)
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+# A line of an event that is no comment.
+_FIELD = re.compile(rb'^[^:\r\n]', re.MULTILINE)
 
 
 class OversizedEventError(Exception):
@@ -17,7 +19,7 @@
     Splits a stream into complete events and tracks the last one.
 
     :ivar last_id: id of the last event returned, empty if none had one.
-    :ivar event_count: number of events returned.
+    :ivar event_count: number of events returned, without comments.
     """
 
     def __init__(self) -> None:
@@ -36,7 +38,9 @@
         if self._splitter.split:
             raise OversizedEventError('an event exceeds the size limit')
         if events:
-            self.event_count += len(_EVENT_END.findall(events))
+            self.event_count += sum(
+                bool(_FIELD.search(event)) for event in _EVENT_END.split(events)
+            )
             ids = _EVENT_ID.findall(events)
             if ids:
                 self.last_id = ids[-1].decode('latin-1')
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -4,6 +4,7 @@
 from fuchsiafork.gateway.configuration import Route
 from fuchsiafork.gateway.request_record import RequestRecord
 from fuchsiafork.gateway.shared_state import SharedState
+from fuchsiafork.gateway.silence import Patience
 from fuchsiafork.gateway.target_call import TargetCall
 from fuchsiafork.gateway.target_selection import SelectionCriteria
 from fuchsiafork.gateway.targets import TargetState
@@ -49,6 +50,11 @@
         # version.
         self._version_sample = shared.rng.random()
         self._probing = False
+        # Target of the attempt in progress.
+        self._state: TargetState | None = None
+        self._patience = Patience(route, self._may_give_up)
+        # Whether the fleet has allowed the next attempt already.
+        self._retry_acquired = False
 
     async def run(self, deadline: float) -> None:
         """
@@ -131,6 +137,8 @@
         shared = self._shared
         call = TargetCall(state, shared.pool, shared.clock)
         remaining_s = max(0.0, deadline - shared.clock.now())
+        self._state = state
+        self._patience.start_attempt()
         state.in_flight += 1
         shared.log.info(
             'request_sent',
@@ -142,7 +150,9 @@
         )
         outcome = 'given_up'
         try:
-            failure = await self._answer_relay.attempt(call, remaining_s)
+            failure = await self._answer_relay.attempt(
+                call, remaining_s, self._patience
+            )
             outcome = str(failure.error.code) if failure else 'served'
         finally:
             self._end_attempt(state, call, outcome)
@@ -216,7 +226,39 @@
         """Return whether the fleet may send another attempt."""
         if failure is None or not failure.possibly_sent:
             return True
-        return await self._shared.retries.try_acquire(self._record.service)
+        acquired, self._retry_acquired = self._retry_acquired, False
+        return acquired or await self._shared.retries.try_acquire(
+            self._record.service
+        )
+
+    async def _may_give_up(self) -> bool:
+        """
+        Return whether a silent target is given up for another one.
+
+        The target may be slow but sound, so that the request stays with it if
+        no other target would get it.
+        """
+        route = self._route
+        last = len(self._tried_ids) + 1 >= route.max_targets
+        if last or not route.retryable or not self._has_alternative():
+            return False
+        if not self._retry_acquired:
+            self._retry_acquired = await self._shared.retries.try_acquire(
+                self._record.service
+            )
+        return self._retry_acquired
+
+    def _has_alternative(self) -> bool:
+        """Return whether another target could get the request."""
+        left_out = {*self._tried_ids, *self._unreached_ids}
+        if self._state is not None:
+            left_out.add(self._state.target.target_id)
+        accepting = self._shared.targets.accepting_targets(self._record.service)
+        return any(
+            state.target.target_id not in left_out
+            and not self._limit_wait_s(state)
+            for state in accepting
+        )
 
     def _handle_failure(self, state: TargetState, failure: Failure) -> None:
         """Exclude the target for this request and back off, as applicable."""
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -36,6 +36,7 @@
     :ivar raw_response: bytes to send in place of any answer.
     :ivar trailing_bytes: bytes to send after a complete answer.
     :ivar rate_limit: limit that each answer names, empty for none.
+    :ivar drip: bytes to send without end in place of the end of a stream.
     """
 
     status: int = 200
@@ -52,6 +53,7 @@
     raw_response: bytes = b''
     trailing_bytes: bytes = b''
     rate_limit: str = ''
+    drip: bytes = b''
 
 
 class RawConnection(CallerConnection):
@@ -253,6 +255,9 @@
             caller.write(f'id: {number}\ndata: piece-{number}\n\n'.encode())
             run.events += 1
             await asyncio.sleep(behaviour.delay_s)
+        while behaviour.drip:
+            caller.write(behaviour.drip)
+            await asyncio.sleep(behaviour.delay_s)
         caller.finish()
 
 
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -3,8 +3,10 @@
 import unittest
 from typing import Any
 
+from fuchsiafork.gateway.prepaid_tokens import LEDGER_KEY
 from fuchsiafork.gateway.program import GatewayProgram
 from fuchsiafork.observability.logs import configure_logs
+from fuchsiafork.prepaid import decode_ledger
 from standins.platform_caller import Call, Reply, call_once
 from standins.platform_site import PlatformSite, make_route, wait_until
 from standins.platform_targets import EVENT_TOKENS, PlatformTarget
@@ -105,3 +107,26 @@
         """Send a prompt to the engines and return the reply."""
         tokens = {'x_token_count': '100,200', 'x_model': 'm'}
         return await self.call(path, **{**tokens, **headers})
+
+    def spent(self, account: str) -> int:
+        """Return the tokens that the ledger shows as spent."""
+        value = self.store.content.get(LEDGER_KEY) or b''
+        return decode_ledger(value).entry(account).spent
+
+    async def change_route(self, prefix: str, **fields: Any) -> None:
+        """Change a route of the configuration, and wait until it applies."""
+        newer = make_configuration(self.configuration_version + 1)
+        route = next(
+            route for route in newer['routes'] if route['prefix'] == prefix
+        )
+        route.update(fields)
+        self.store.put('op/config', newer)
+        await self.eventually(
+            lambda: self.configuration_version == newer['version']
+        )
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration that the gateway has in force."""
+        configuration = self.gateway._shared.configuration
+        return configuration.version if configuration else 0
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -225,15 +225,7 @@
         prepaid_tokens = self.gateway._shared.prepaid_tokens
         state = prepaid_tokens._allocator._states['acme']
         self.assertEqual(state.reserved, 0)
-        await self.eventually(lambda: self._spent('acme') == 100 + 4 * 5)
-
-    def _spent(self, account: str) -> int:
-        """Return the tokens that the ledger shows as spent."""
-        from fuchsiafork.gateway.prepaid_tokens import LEDGER_KEY
-        from fuchsiafork.prepaid import decode_ledger
-
-        value = self.store.content.get(LEDGER_KEY) or b''
-        return decode_ledger(value).entry(account).spent
+        await self.eventually(lambda: self.spent('acme') == 100 + 4 * 5)
 
     async def test_insufficient_budget_is_refused(self) -> None:
         """Guards against serving a request that exceeds the budget."""
