Survive malformed messages and unexpected errors

Cause: an answer of the store that wasn't of the expected form raised KeyError, TypeError or the like in a watch. The background task ended, and its end stopped the whole process: one malformed answer was enough. So did a malformed record of a rollout, and any unexpected error of periodic work. An unexpected error in a request closed the connection without an answer or a log line. Header values outside of ASCII, which HTTP allows, refused the request (400), or lost an answer that the target had given (502). Another VM's call with a negative number of tokens was carried out.

Change: malformed answers of the store count as no answer; a listener answers 1004 where its handler fails, after logging the place; a background task that fails is logged, counted and started again with backoff, and the VM isn't ready meanwhile; a batch of changes that can't be applied is logged and passed over. Contents of calls between VMs, occupants of slots and records of rollouts are validated. Headers are encoded as they were decoded. Answers of the store and of VMs are bounded at 16 MiB; deadlines and token counts have to be numbers that a clock and a counter can hold.

--- a/fuchsiafork/gateway/holder_election.py
+++ b/fuchsiafork/gateway/holder_election.py
@@ -10,7 +10,13 @@
 from fuchsiafork.gateway.watcher import Watcher
 from fuchsiafork.kernel.errors import StoreUnavailableError
 from fuchsiafork.platform.store import Changes, Item, PlatformStore
-from fuchsiafork.prepaid.holder_slots import HolderSlots, Occupant, Slot
+from fuchsiafork.prepaid.holder_slots import (
+    HolderSlots,
+    Occupant,
+    Slot,
+    decode_occupant,
+    encode_occupant,
+)
 
 SLOTS_PREFIX = 'fuchsiafork/holders/'
 # A slot becomes vacant this long after its VM stopped renewing the lease.
@@ -130,10 +136,8 @@
         self._lease = 0
         lease = await self._store.grant_lease(LEASE_TTL_S)
         key = f'{SLOTS_PREFIX}{slot.domain}/{slot.number}'
-        value = json.dumps([self._occupant.vm, self._occupant.address])
-        swap = await self._store.swap(
-            key, slot.revision, value.encode(), lease=lease
-        )
+        value = encode_occupant(self._occupant)
+        swap = await self._store.swap(key, slot.revision, value, lease=lease)
         if swap.revision:
             self._lease = lease
             self._log.info('slot_claimed', domain=slot.domain, n=slot.number)
@@ -161,10 +165,11 @@
         place = item.key.removeprefix(SLOTS_PREFIX)
         domain, _, number = place.rpartition('/')
         try:
-            occupant = item.value and Occupant(*json.loads(item.value))
-            slot = Slot(domain, int(number), item.revision, occupant or None)
-        except (ValueError, TypeError) as error:
-            self._log.warning('slot_ignored', key=item.key, reason=repr(error))
+            occupant = decode_occupant(item.value) if item.value else None
+            slot = Slot(domain, int(number), item.revision, occupant)
+        except ValueError as error:
+            reason = json.dumps(str(error))
+            self._log.warning('slot_ignored', key=item.key, reason=reason)
             return
         self._slots.update(slot)
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -113,6 +113,12 @@
             ('account',),
             registry=self.registry,
         )
+        self.task_failures = prom.Counter(
+            'fuchsiafork_gateway_task_failures',
+            'Background tasks that failed and were started again, by task.',
+            ('task',),
+            registry=self.registry,
+        )
         self.lines_left_out = prom.Counter(
             'fuchsiafork_gateway_log_lines_left_out',
             'Log lines over the bound.',
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -33,8 +33,16 @@
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 
-# Answers the content of a call; ValueError, TypeError or AttributeError if it
-# is invalid.
+# Raised by a handler, or by the decoder, for content that is invalid.
+_CONTENT_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+# Answers the content of a call; one of the errors above if it is invalid.
 Handler = Callable[[Any], Coroutine[Any, Any, Any]]
 
 
@@ -176,7 +184,7 @@
             return
         try:
             answer = await handler(json.loads(request.body))
-        except (ValueError, TypeError, AttributeError) as error:
+        except _CONTENT_ERRORS as error:
             self._log.warning('peer_unreadable', reason=repr(error))
             caller.answer(_BAD_REQUEST, [], b'')
         except CallRefusedError as refusal:
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -8,6 +8,7 @@
 
 from fuchsiafork.gateway.composition import compose, make_retry_limits
 from fuchsiafork.gateway.configuration import Configuration
+from fuchsiafork.gateway.error_boundary import Supervisor, Task, guard_requests
 from fuchsiafork.gateway.pages import OperatorPages, ReadinessPage
 from fuchsiafork.gateway.request_handler import RequestHandler
 from fuchsiafork.gateway.store_feeds import ConfigurationFeed
@@ -81,7 +82,9 @@
         self._clock = self._shared.clock
         self._settings_mtime_ns = path.stat().st_mtime_ns
         self._callers = CallerServer(
-            self._serve, self._refuse_unreadable, self._caller_limits
+            guard_requests(self._serve, _answer_error, self._log),
+            self._refuse_unreadable,
+            self._caller_limits,
         )
         self._pages = OperatorPages(self._shared, self._ages, self._in_flight)
         readiness = ReadinessPage(lambda: self.ready)
@@ -91,6 +94,11 @@
             (self._settings.metrics_address, self._pages.serve),
             (self._settings.listen.readiness, readiness.serve),
         )
+        self._supervisor = Supervisor(
+            self._shared.rng,
+            lambda task: self._shared.metrics.task_failures.labels(task).inc(),
+            self._log,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
 
@@ -103,7 +111,8 @@
             and self._shared.prepaid_tokens.ready
             and self._shared.quarantine.listed
         )
-        return synchronized and not self._stopping.is_set()
+        impaired = self._stopping.is_set() or bool(self._supervisor.failing)
+        return synchronized and not impaired
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -119,7 +128,9 @@
         """Listen on all addresses and start the background tasks."""
         for address, serve in self._internal_services:
             server = CallerServer(
-                serve, self._refuse_unreadable, self._caller_limits
+                guard_requests(serve, _answer_error, self._log),
+                self._refuse_unreadable,
+                self._caller_limits,
             )
             await self._listen(address, server)
         await self._listen(self._settings.listen.callers, self._callers)
@@ -166,32 +177,32 @@
             self._shared.rollouts.apply_orders(changes)
             self._shared.prepaid_tokens.notify_store_answered()
 
-        coroutines = (
-            self._components.configuration_watcher.run(
+        components, shared = self._components, self._shared
+        coroutines: dict[str, Task] = {
+            'configuration': lambda: components.configuration_watcher.run(
                 apply_operator_changes, apply_operator_changes
             ),
-            self._shared.rollouts.run(),
-            self._components.target_watcher.run(
-                self._components.target_feed.apply_listing,
-                self._components.target_feed.apply_changes,
+            'rollouts': shared.rollouts.run,
+            'targets': lambda: components.target_watcher.run(
+                components.target_feed.apply_listing,
+                components.target_feed.apply_changes,
             ),
-            self._shared.prepaid_tokens.run(),
-            self._components.election.watch(),
-            self._components.election.run(
-                self._shared.prepaid_tokens.set_holding
+            'ledger': shared.prepaid_tokens.run,
+            'slots': components.election.watch,
+            'election': lambda: components.election.run(
+                shared.prepaid_tokens.set_holding
             ),
-            self._components.token_draws.run(),
-            self._components.clock_check.run(),
-            self._components.notice_writer.run(),
-            self._shared.quarantine.watch(),
-            self._shared.quarantine.run(),
-            self._run_periodic_work(),
-        )
+            'draws': components.token_draws.run,
+            'clocks': components.clock_check.run,
+            'notices': components.notice_writer.run,
+            'quarantine': shared.quarantine.watch,
+            'acquittals': shared.quarantine.run,
+            'periodic': self._run_periodic_work,
+        }
         self._tasks = [
-            asyncio.create_task(coroutine) for coroutine in coroutines
+            asyncio.create_task(self._supervisor.run(name, coroutine))
+            for name, coroutine in coroutines.items()
         ]
-        for task in self._tasks:
-            task.add_done_callback(self._stop_after_task_failure)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration."""
@@ -290,13 +301,6 @@
             self._settings_mtime_ns = mtime_ns
             self._reload()
 
-    def _stop_after_task_failure(self, task: asyncio.Task[None]) -> None:
-        """Stop the process if a background task has ended by itself."""
-        if task.cancelled():
-            return
-        self._log.error('system_failed', reason=repr(task.exception()))
-        self._stopping.set()
-
     async def _drain(self) -> None:
         """Stop accepting requests and wait for those in flight."""
         self._log.warning(
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -17,6 +17,7 @@
     RunState,
     TargetTimeoutError,
     UnauthorizedError,
+    UnexpectedError,
 )
 from fuchsiafork.kernel.refusals import refusal_body
 from fuchsiafork.platform import headers as wire
@@ -55,14 +56,12 @@
         error: FuchsiaforkError | None = None
         try:
             await self._serve()
-        except ValueError as exc:
-            error = BadRequestError(str(exc))
-        except FuchsiaforkError as exc:
-            error = exc
         except asyncio.CancelledError:
             self._settle()
             self._log_caller_left()
             raise
+        except Exception as exc:
+            error = self._expected_error(exc)
         finally:
             self._settle()
         if error is None:
@@ -75,9 +74,8 @@
         Answer the request.
 
         :raises FuchsiaforkError: if the request can't be answered.
-        :raises ValueError: if a numeric header is not a number.
         """
-        metadata = wire.parse_request_headers(self._request.headers)
+        metadata = self._parse_headers()
         self._record.request_id = metadata.request_id
         configuration = self._shared.configuration
         if configuration is None:
@@ -105,6 +103,28 @@
             priority = account.priority
         await self._send_to_targets(route, self._answer_relay, priority)
 
+    def _parse_headers(self) -> wire.RequestMetadata:
+        """
+        Return what the headers say.
+
+        :raises BadRequestError: if a numeric header is not a number.
+        """
+        try:
+            return wire.parse_request_headers(self._request.headers)
+        except ValueError as error:
+            raise BadRequestError(str(error)) from None
+
+    def _expected_error(self, error: Exception) -> FuchsiaforkError:
+        """Return an error with a code; log one that has none."""
+        if isinstance(error, FuchsiaforkError):
+            return error
+        self._shared.log.error(
+            'request_failed',
+            request_id=self._record.request_id,
+            exc_info=error,
+        )
+        return UnexpectedError(repr(error))
+
     async def _send_to_targets(
         self, route: Route, answer_relay: AnswerRelay, priority: int
     ) -> None:
--- a/fuchsiafork/gateway/rollouts.py
+++ b/fuchsiafork/gateway/rollouts.py
@@ -1,8 +1,11 @@
 """Carries out the operator's orders to move services to other versions."""
 
 import asyncio
+import dataclasses
 import json
-from typing import Any
+from typing import Annotated, Any
+
+import pydantic
 
 from fuchsiafork.gateway.canary import (
     AnswerCounts,
@@ -13,6 +16,7 @@
 )
 from fuchsiafork.gateway.targets import TargetState
 from fuchsiafork.kernel import Clock, FuchsiaforkError
+from fuchsiafork.kernel.errors import StoreFormatError
 from fuchsiafork.platform.rollouts import (
     encode_status,
     read_order,
@@ -25,6 +29,27 @@
 SYNC_INTERVAL_S = 0.8
 MAX_CONFLICTS = 6
 
+# Answers, failed and slow ones of the new version, then of the old one.
+_Counts = Annotated[
+    list[Annotated[int, pydantic.Field(ge=0)]],
+    pydantic.Field(min_length=6, max_length=6),
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    """
+    Shared record of a canary.
+
+    :ivar counts: counts by process and route.
+    """
+
+    verdict: Verdict
+    counts: dict[str, dict[str, _Counts]]
+
+
+_RECORD = pydantic.TypeAdapter(_Record)
+
 
 class RolloutController:
     """Canaries of all services, with their shared records in the store."""
@@ -186,19 +211,35 @@
 
 
 def _load_record(canary: Canary, item: Item, instance_id: str) -> bool:
-    """Load peers' counts and verdict; return whether there is a verdict."""
+    """
+    Load peers' counts and verdict; return whether there is a verdict.
+
+    :raises StoreFormatError: if the record is malformed.
+    """
     if not item.value:
         return False
-    stored = json.loads(item.value)
+    record = decode_record(item)
     canary.peer_counts = {
         name: _decode_counts(table)
-        for name, table in stored['counts'].items()
+        for name, table in record.counts.items()
         if name != instance_id
     }
-    canary.verdict = Verdict(stored['verdict'])
+    canary.verdict = record.verdict
     return canary.verdict is not Verdict.NONE
 
 
+def decode_record(item: Item) -> _Record:
+    """
+    Return a canary's shared record.
+
+    :raises StoreFormatError: if it is malformed.
+    """
+    try:
+        return _RECORD.validate_json(item.value or b'')
+    except pydantic.ValidationError as error:
+        raise StoreFormatError(f'{item.key}: {error!r}') from None
+
+
 def _encode_record(canary: Canary, instance_id: str, verdict: Verdict) -> bytes:
     """Return the shared record of a canary, encoded."""
     tables = {**canary.peer_counts, instance_id: canary.local_counts}
--- a/fuchsiafork/gateway/target_call.py
+++ b/fuchsiafork/gateway/target_call.py
@@ -14,6 +14,7 @@
     ClientConnection,
     ConnectError,
 )
+from fuchsiafork.transport.header_encoding import encode_headers
 from fuchsiafork.transport.pool import ConnectionPool, idle_limit_s
 
 # Number of answers read; if all of them are to other requests, the connection
@@ -125,8 +126,8 @@
         self._connection.send(
             h11.Request(
                 method=request.method,
-                target=request.target,
-                headers=headers,
+                target=request.target.encode('latin-1'),
+                headers=encode_headers(headers),
             ),
             request.body,
         )
--- a/fuchsiafork/gateway/token_peers.py
+++ b/fuchsiafork/gateway/token_peers.py
@@ -17,6 +17,12 @@
 from fuchsiafork.kernel.errors import BudgetExhaustedError
 from fuchsiafork.prepaid import TokenAllocator
 from fuchsiafork.prepaid.draw_records import RECORD_TTL_S, DrawRecords
+from fuchsiafork.prepaid.messages import (
+    read_cancelled_draws,
+    read_draw_request,
+    read_returned_tokens,
+    read_token_request,
+)
 
 TOKENS_PATH = '/tokens'
 DRAW_PATH = '/tokens/draw'
@@ -156,8 +162,8 @@
 
     async def _handle_tokens(self, content: Any) -> int:
         """Give tokens of this VM's grant; return how many."""
-        account, tokens = content
-        transferred = self._allocator.transfer_out(str(account), int(tokens))
+        account, tokens = read_token_request(content)
+        transferred = self._allocator.transfer_out(account, tokens)
         self._log.info('tokens_given', account=account, tokens=transferred)
         return transferred
 
@@ -169,23 +175,25 @@
         """
         if not self._allocator.holding or self._allot is None:
             raise CallRefusedError(_NOT_HOLDING)
-        account, tokens, wait_s, draw_id = content
-        given = await self._allot(str(account), int(tokens), float(wait_s))
-        if self._draw_records.record(str(draw_id), str(account), given):
+        draw = read_draw_request(content)
+        given = await self._allot(draw.account, draw.tokens, draw.wait_s)
+        if self._draw_records.record(draw.draw_id, draw.account, given):
             return given
-        self._allocator.transfer_in(str(account), given)
+        self._allocator.transfer_in(draw.account, given)
         return 0
 
     async def _handle_return(self, content: Any) -> int:
         """Take tokens that another VM did not use; return how many."""
-        for account, tokens in content.items():
-            self._allocator.transfer_in(str(account), int(tokens))
-        return sum(content.values())
+        returned = read_returned_tokens(content)
+        for account, tokens in returned.items():
+            self._allocator.transfer_in(account, tokens)
+        return sum(returned.values())
 
     async def _handle_cancel(self, content: Any) -> int:
         """Take back the tokens of draws without an answer; return how many."""
-        cancelled = sum(self._cancel_draw(str(key)) for key in content)
-        self._log.info('draws_cancelled', draws=len(content), tokens=cancelled)
+        draw_ids = read_cancelled_draws(content)
+        cancelled = sum(self._cancel_draw(draw_id) for draw_id in draw_ids)
+        self._log.info('draws_cancelled', draws=len(draw_ids), tokens=cancelled)
         return cancelled
 
     def _cancel_draw(self, draw_id: str) -> int:
--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -88,11 +88,23 @@
                 await asyncio.sleep(RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
             else:
                 self._set_connected(connected=True)
-                callback = on_changes if listed else on_listing
-                callback(changes)
+                self._apply(on_changes if listed else on_listing, changes)
                 listed = not (self._newest_only and self._falls_behind(changes))
                 await asyncio.sleep(self._pause_s(changes, listed=listed))
 
+    def _apply(
+        self, callback: Callable[[Changes], None], changes: Changes
+    ) -> None:
+        """Pass changes on; later ones are passed on even if that fails."""
+        try:
+            callback(changes)
+        except Exception:
+            self._log.exception(
+                'changes_unapplied',
+                prefix=self._prefix,
+                revision=changes.revision,
+            )
+
     async def _fetch(self, *, listed: bool) -> Changes:
         """Return all items, or the changes since the last call if listed."""
         if listed:
--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -58,6 +58,12 @@
     status = 400
 
 
+class UnexpectedError(FuchsiaforkError):
+    """The handling of a request or call failed in a way not foreseen."""
+
+    code = 1004
+
+
 class SettingsError(FuchsiaforkError):
     """A settings file is invalid."""
 
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -1,11 +1,15 @@
 """Parses and builds the headers of requests and responses."""
 
 import dataclasses
+import math
 import re
 from collections.abc import Iterable, Sequence
 
 from fuchsiafork.platform import names
 
+# Largest number of tokens that a request may name.
+MAX_TOKENS = 1_000_000_000
+
 _MS_PER_S = 1000
 _EMPTY = ''
 _DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
@@ -90,7 +94,7 @@
     parts = values.get(names.PROMPT_PARTS, _EMPTY)
     return RequestMetadata(
         request_id=values.get(names.REQUEST_ID, _EMPTY),
-        time_left_s=float(time_left_ms) / _MS_PER_S if time_left_ms else None,
+        time_left_s=_seconds(time_left_ms) if time_left_ms else None,
         key=_bearer_key(values.get(names.AUTHORIZATION, _EMPTY)),
         prompt_tokens=_token_count(prompt),
         output_tokens=_token_count(output),
@@ -184,5 +188,24 @@
 
 
 def _token_count(text: str) -> int:
-    """Parse a number of tokens, 0 if it is missing."""
-    return max(0, int(text)) if text.strip() else 0
+    """
+    Parse a number of tokens, 0 if it is missing.
+
+    :raises ValueError: if it is no number up to ``MAX_TOKENS``.
+    """
+    tokens = max(0, int(text)) if text.strip() else 0
+    if tokens > MAX_TOKENS:
+        raise ValueError(f'more than {MAX_TOKENS} tokens')
+    return tokens
+
+
+def _seconds(text: str) -> float:
+    """
+    Parse milliseconds.
+
+    :raises ValueError: if they are no finite number.
+    """
+    seconds = float(text) / _MS_PER_S
+    if not math.isfinite(seconds):
+        raise ValueError(f'no time: {text!r}')
+    return seconds
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -1,9 +1,10 @@
 """Client of the platform's key-value store."""
 
 import base64
+import contextlib
 import dataclasses
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from typing import Any
 
 from fuchsiafork.kernel.errors import StoreUnavailableError
@@ -30,6 +31,13 @@
 _GONE = 410
 _NOT_EXECUTED_STATUSES = frozenset((400, 403, 404, 429, 503))
 _MS_PER_S = 1000
+_PARSE_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    ArithmeticError,
+)
 
 
 class HistoryGoneError(Exception):
@@ -119,7 +127,8 @@
         if answer.status == _NOT_FOUND:
             return Item(key, 0, None)
         _check_status(answer, _OK)
-        return _parse_item(answer.body)
+        with _parsing('an item'):
+            return _parse_item(answer.body)
 
     async def list_items(self, prefix: str) -> Changes:
         """
@@ -138,9 +147,12 @@
             answer = await self._list_page(prefix, after)
             transfer_s += answer.transfer_s
             page = answer.body
-            items.extend(_parse_item(item) for item in page['items'])
-            revision = revision or int(page['storeRevision'])
-            if not page['hasMore'] or not items:
+            with _parsing('a page'):
+                page_items = [_parse_item(item) for item in page['items']]
+                revision = revision or int(page['storeRevision'])
+                has_more = bool(page['hasMore'])
+            items += page_items
+            if not has_more or not page_items:
                 return Changes(tuple(items), revision, transfer_s)
             after = items[-1].key
 
@@ -165,8 +177,9 @@
         if answer.status == _GONE:
             raise HistoryGoneError(prefix)
         _check_status(answer, _OK)
-        items = tuple(_parse_item(item) for item in answer.body['events'])
-        revision = int(answer.body['storeRevision'])
+        with _parsing('changes'):
+            items = tuple(_parse_item(item) for item in answer.body['events'])
+            revision = int(answer.body['storeRevision'])
         return Changes(items, revision, answer.transfer_s)
 
     async def swap(
@@ -201,10 +214,12 @@
         }
         answer = await self._call('POST', '/api/kv-txn', key, body)
         if answer.status == _CONFLICT:
-            current = answer.body.get('items') or ()
-            return Swap(0, tuple(_parse_item(item) for item in current))
+            with _parsing('current items'):
+                current = answer.body.get('items') or ()
+                return Swap(0, tuple(_parse_item(item) for item in current))
         _check_status(answer, _OK)
-        return Swap(int(answer.body['revision']))
+        with _parsing('a revision'):
+            return Swap(int(answer.body['revision']))
 
     async def grant_lease(self, ttl_s: float) -> int:
         """
@@ -215,7 +230,8 @@
         body = {'ttlMs': int(ttl_s * _MS_PER_S)}
         answer = await self._call('POST', '/api/kv-lease', 'lease', body)
         _check_status(answer, _OK)
-        return int(answer.body['lease'])
+        with _parsing('a lease'):
+            return int(answer.body['lease'])
 
     async def keep_lease(self, lease: int) -> bool:
         """
@@ -290,6 +306,21 @@
     raise StoreOutcomeUnknownError(reason)
 
 
+@contextlib.contextmanager
+def _parsing(content: str) -> Generator[None, None, None]:
+    """
+    Parse the content of an answer.
+
+    :raises StoreOutcomeUnknownError: if it is malformed.
+    """
+    try:
+        yield
+    except _PARSE_ERRORS as error:
+        raise StoreOutcomeUnknownError(
+            f'the answer is not {content}: {error!r}'
+        ) from None
+
+
 def _parse_item(item: Any) -> Item:
     """Parse an item or the deletion of one."""
     value = None
--- a/fuchsiafork/prepaid/holder_slots.py
+++ b/fuchsiafork/prepaid/holder_slots.py
@@ -8,6 +8,9 @@
 
 import dataclasses
 from collections.abc import Iterable
+from typing import Annotated, NamedTuple
+
+import pydantic
 
 from fuchsiafork.kernel import rank
 
@@ -42,6 +45,30 @@
     occupant: Occupant | None = None
 
 
+class _OccupantRecord(NamedTuple):
+    """An occupant as it is stored."""
+
+    vm: Annotated[str, pydantic.Field(min_length=1)]
+    address: Annotated[str, pydantic.Field(pattern='^[0-9.]+:[0-9]+$')]
+
+
+_OCCUPANT = pydantic.TypeAdapter(_OccupantRecord)
+
+
+def decode_occupant(value: bytes) -> Occupant:
+    """
+    Return the stored occupant of a slot.
+
+    :raises ValueError: if it is malformed.
+    """
+    return Occupant(*_OCCUPANT.validate_json(value))
+
+
+def encode_occupant(occupant: Occupant) -> bytes:
+    """Return the stored form of an occupant."""
+    return _OCCUPANT.dump_json(_OccupantRecord(occupant.vm, occupant.address))
+
+
 class HolderSlots:
     """The occupied slots of all failure domains, as one VM knows them."""
 
@@ -128,4 +155,11 @@
         return [slot.occupant.address for slot in ranked if slot.occupant]
 
 
-__all__ = ('SLOTS_PER_DOMAIN', 'HolderSlots', 'Occupant', 'Slot')
+__all__ = (
+    'SLOTS_PER_DOMAIN',
+    'HolderSlots',
+    'Occupant',
+    'Slot',
+    'decode_occupant',
+    'encode_occupant',
+)
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -15,7 +15,14 @@
 from fuchsiafork.kernel.errors import StoreFormatError
 from fuchsiafork.prepaid.fleet_time import MAX_CLOCK_DIFFERENCE_S
 
-_DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError)
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 
 # A holder that hasn't written for this long is ignored when grants are sized,
 # but keeps its grant.
--- a/fuchsiafork/transport/caller.py
+++ b/fuchsiafork/transport/caller.py
@@ -10,6 +10,7 @@
 import h11
 
 from fuchsiafork.transport.client_connection import set_tcp_options
+from fuchsiafork.transport.header_encoding import encode_headers
 
 # Bytes of pipelined requests that are read while a request is being served.
 MAX_PIPELINED_BYTES = 65_536
@@ -204,7 +205,8 @@
         self._status = status
         if self._server.stopping or self._closing:
             headers = [*headers, ('connection', 'close')]
-        self._send(h11.Response(status_code=status, headers=headers))
+        encoded = encode_headers(headers)
+        self._send(h11.Response(status_code=status, headers=encoded))
 
     def write(self, data: bytes) -> None:
         """Send a part of the body; nothing if the request was a HEAD."""
--- a/fuchsiafork/transport/json_call.py
+++ b/fuchsiafork/transport/json_call.py
@@ -18,6 +18,7 @@
 # answer on a slow link takes longer than a timeout that detects a peer that
 # does not answer.
 PART_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 16_777_216
 
 # Called with a purpose and the bytes sent and received for it.
 CountBytes = Callable[[str, int, int], None]
@@ -76,7 +77,7 @@
     try:
         async with asyncio.timeout(timeout_s) as limit:
             return await _exchange(connection, address, call, limit)
-    except (TimeoutError, ValueError) as error:
+    except (TimeoutError, ValueError, RecursionError) as error:
         raise BrokenAnswerError(repr(error)) from None
     finally:
         pool.release(address, connection)
@@ -109,6 +110,8 @@
     event = await connection.next_event()
     while isinstance(event, h11.Data):
         content += event.data
+        if len(content) > MAX_ANSWER_BYTES:
+            raise BrokenAnswerError('the answer exceeds the size limit')
         _extend(limit)
         event = await connection.next_event()
     keep_alive = dict(head.headers).get(b'keep-alive', b'')
--- a/standins/platform_caller.py
+++ b/standins/platform_caller.py
@@ -5,6 +5,8 @@
 
 import h11
 
+from fuchsiafork.transport.header_encoding import encode_headers
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
@@ -52,7 +54,7 @@
         return h11.Request(
             method=self.method,
             target=self.path,
-            headers=pairs,
+            headers=encode_headers(pairs),
         )
 
 
@@ -95,7 +97,8 @@
         elif isinstance(event, h11.Response):
             status = event.status_code
             headers = {
-                name.decode(): text.decode() for name, text in event.headers
+                name.decode('latin-1'): text.decode('latin-1')
+                for name, text in event.headers
             }
         elif isinstance(event, h11.Data):
             body += event.data
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -27,6 +27,7 @@
     BUSY = 'busy'
     RESET = 'reset'
     SILENT = 'silent'
+    MALFORMED = 'malformed'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,6 +139,7 @@
     Serves a store's content over HTTP.
 
     :ivar fault: fault injected into every call.
+    :ivar malformed_body: body of each answer of the fault ``MALFORMED``.
     :ivar lost_answers: number of next writes that take effect, but whose
         connection is aborted instead of an answer.
     :ivar lost_write_delay_s: seconds after the abort at which such a write
@@ -154,6 +156,7 @@
         """Start without content and without faults."""
         self.content = StoreContent(clock)
         self.fault = StoreFault.NONE
+        self.malformed_body = b''
         self.lost_answers = 0
         self.lost_write_delay_s = 0.0
         self.lost_watches = 0
@@ -197,6 +200,9 @@
         if self.fault is StoreFault.BUSY:
             caller.answer(503, [], b'')
             return
+        if self.fault is StoreFault.MALFORMED:
+            caller.answer(200, [], self.malformed_body)
+            return
         query = dict(urllib.parse.parse_qsl(request.target.partition('?')[2]))
         body = json.loads(request.body) if request.body else {}
         self.content.expire()
