--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -209,6 +209,8 @@
         body = await call.read_body(MAX_BUFFERED_ANSWER_BYTES)
         answer = BufferedAnswer(head, body)
         failure = classify_answer(answer)
+        if self._caller.started:
+            return _stream_failure(failure, head)
         if head.success:
             self._on_begun(self.shared_parts)
         if failure is None:
@@ -328,6 +330,17 @@
     return Failure(target_failed, answer=answer)
 
 
+def _stream_failure(failure: Failure | None, head: AnswerHead) -> Failure:
+    """Return the failure for an answer that doesn't continue a stream."""
+    if failure is not None:
+        return dataclasses.replace(failure, answer=None)
+    return Failure(
+        StreamTruncatedError(
+            f'the target answered {head.status} instead of further events'
+        )
+    )
+
+
 def _require_unaltered(head: AnswerHead) -> None:
     """
     Check that a successful answer shows no sign of an alteration.
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import time
+from collections.abc import Iterable
 from typing import Any
 
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
@@ -148,6 +149,17 @@
         """Number of open connections."""
         return len(self.server.shared.connections)
 
+    def share_next_behaviours(self, others: Iterable['PlatformTarget']) -> None:
+        """Let the next behaviours go to whichever target is asked next."""
+        for other in others:
+            other.next_behaviours = self.next_behaviours
+
+    def _next_behaviour(self) -> Behaviour:
+        """Return the behaviour for the next request."""
+        if self.next_behaviours:
+            return self.next_behaviours.popleft()
+        return self.behaviour
+
     async def _serve(
         self,
         request: CallerRequest,
@@ -155,11 +167,7 @@
     ) -> None:
         """Answer a request according to the behaviour."""
         self.arrivals += 1
-        behaviour = (
-            self.next_behaviours.popleft()
-            if self.next_behaviours
-            else self.behaviour
-        )
+        behaviour = self._next_behaviour()
         if isinstance(caller, RawConnection):
             self.used_connections += not caller.used
             caller.used = True
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,6 +1,8 @@
 """Graceful shutdown of a gateway, and requests on one connection."""
 
 import asyncio
+import collections
+import itertools
 from unittest import mock
 
 import h11
@@ -75,6 +77,132 @@
         self.assertEqual(ledger.entry('acme').free(PREPAID), PREPAID)
 
 
+class TestStopUnderLoad(GatewayCase):
+    """SIGTERM while many callers send requests."""
+
+    async def asyncSetUp(self) -> None:
+        """Shorten the times of a stop, and let answers take some time."""
+        for name, seconds in (
+            ('ACCEPT_WHILE_STOPPING_S', 0.4),
+            ('MIN_IDLE_BEFORE_CLOSE_S', 0.05),
+        ):
+            patcher = mock.patch.object(program, name, seconds)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        await super().asyncSetUp()
+        for target in self.plain:
+            target.behaviour = Behaviour(delay_s=0.03)
+        self.sent = itertools.count()
+        self.faults: list[str] = []
+        self.outcomes: collections.Counter[str] = collections.Counter()
+
+    async def test_series_of_stops(self) -> None:
+        """Guards against accepted requests that are cut off (LOST)."""
+        for _ in range(3):
+            self.stopped = False
+            callers = [
+                asyncio.create_task(self._send_in_series(pause_s=pause_s))
+                for pause_s in (0.0, 0.02, 0.06, 0.11) * 6
+            ]
+            await asyncio.sleep(0.3)
+            await self.gateway.stop()
+            self.stopped = True
+            await asyncio.gather(*callers)
+            self.gateway = await self.start_gateway()
+        self.assertEqual(self.faults, [])
+        self.assertGreater(self.outcomes['answered'], 100)
+        self.assertGreater(self.outcomes['refused'], 0)
+
+    async def test_request_that_is_being_read(self) -> None:
+        """Guards against cutting off a request that arrives in pieces."""
+        port = self.site.ports[VM]
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(b'POST /open/1 HTTP/1.1\r\nhost: shop.example\r\n')
+        await asyncio.sleep(0.05)
+        stop_task = asyncio.create_task(self.gateway.stop())
+        await asyncio.sleep(0.2)
+        writer.write(b'x-attempt-id: r-1\r\ncontent-length: 2\r\n\r\n')
+        await asyncio.sleep(0.1)
+        writer.write(b'{}')
+        head = await asyncio.wait_for(reader.readline(), 3)
+        self.assertIn(b' 200 ', head)
+        writer.close()
+        await stop_task
+
+    async def test_stopping_twice(self) -> None:
+        """Guards against a second signal that cuts the first stop short."""
+        for target in self.plain:
+            target.behaviour = Behaviour(delay_s=1.0)
+        request_task = asyncio.create_task(self.call('/order/1'))
+        await self.eventually(lambda: any(t.runs for t in self.plain))
+        stop_task = asyncio.create_task(self.gateway.stop())
+        await asyncio.sleep(0.1)
+        self.gateway._stopping.set()
+        self.gateway._reload()
+        self.assertEqual((await request_task).status, 200)
+        await stop_task
+
+    async def _send_in_series(self, pause_s: float) -> None:
+        """Send requests on kept connections until the gateway has stopped."""
+        while not self.stopped:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1', self.site.ports[VM]
+                )
+            except ConnectionError:
+                return
+            while not self.stopped:
+                if not await self._send_once(reader, writer):
+                    break
+                await asyncio.sleep(pause_s)
+            writer.close()
+
+    async def _send_once(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Send one request; return whether the connection stays open."""
+        request_id = f'load-{next(self.sent)}'
+        writer.write(
+            f'GET /open/1 HTTP/1.1\r\nhost: shop.example\r\n'
+            f'x-attempt-id: {request_id}\r\n\r\n'.encode()
+        )
+        try:
+            head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 5)
+            length = int(_header(head, b'content-length'))
+            await reader.readexactly(length)
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            self._record_cut(request_id, repr(error))
+            return False
+        status = int(head.split(b' ', 2)[1])
+        self.outcomes['answered' if status == 200 else 'refused'] += 1
+        if status != 200 and self._was_run(request_id):
+            self.faults.append(f'{request_id} ran and got {status}')
+        return _header(head, b'connection') != b'close'
+
+    def _record_cut(self, request_id: str, reason: str) -> None:
+        """Record a request without an answer; a fault if it was passed on."""
+        self.outcomes['cut'] += 1
+        if self._was_run(request_id):
+            self.faults.append(f'{request_id} ran and was cut: {reason}')
+
+    def _was_run(self, request_id: str) -> bool:
+        """Return whether a target has run a request."""
+        return any(
+            run.request_id == request_id
+            for target in self.plain
+            for run in target.runs
+        )
+
+
+def _header(head: bytes, name: bytes) -> bytes:
+    """Return a header of an answer in lower case, empty if it has none."""
+    for line in head.lower().split(b'\r\n'):
+        key, _, text = line.partition(b':')
+        if key == name:
+            return text.strip()
+    return b''
+
+
 class TestConnections(GatewayCase):
     """Several requests on a connection."""
 
