Send a probe again that reached no target

Cause: when all targets end at once, the part that all prompts share goes into quarantine. The VM that acquires its first probe finds no target that listens; the probe counted as sent, so that the whole fleet waited 10 s for the next one. If the probe had been meant for a target that had ended before, no further one was sent at all.

Change: a probe that reached no target stays with its VM, and the next prompt with the part is that probe. A target whose end is known gets no probe.

--- a/fuchsiafork/gateway/prompt_quarantine.py
+++ b/fuchsiafork/gateway/prompt_quarantine.py
@@ -83,6 +83,8 @@
         self._reports: set[asyncio.Task[None]] = set()
         # Probes that the store is being asked for.
         self._acquiring: set[Probe] = set()
+        # Probes of this VM that reached no target.
+        self._unspent: set[Probe] = set()
         # Times at which to report that an answer has begun, by part.
         self._acquittals: dict[str, float] = {}
         self._scheduled = asyncio.Event()
@@ -98,6 +100,11 @@
             self._queue_acquittals()
             now = self._clock.now()
             self._evidence.expire(now)
+            self._unspent = {
+                probe
+                for probe in self._unspent
+                if self._evidence.quarantined((probe.part,))
+            }
             if now >= self._alert_until:
                 self._watcher.wait_s = WATCH_WAIT_S
             self._metrics.quarantined_parts.set(len(self._evidence))
@@ -118,23 +125,35 @@
         if self._evidence.quarantined(_ids(parts)):
             self._next_probe(_ids(parts))
 
-    async def admit(self, parts: tuple[str, ...], target: Target) -> bool:
+    async def admit(
+        self, parts: tuple[str, ...], target: Target
+    ) -> Probe | None:
         """
-        Return whether an attempt is a probe of a quarantined part.
+        Return the probe that an attempt is, None if it is an ordinary one.
 
         :raises QuarantinedError: if the target may not get the prompt.
         """
         ids = _ids(parts)
         if not self._evidence.quarantined(ids):
-            return False
+            return None
         probe = self._next_probe(ids)
+        if self._evidence.has_ended(probe.part, target.lifetime):
+            raise self._refusal([probe.part], 'its target has ended')
         if await self._acquire(probe, target.lifetime):
-            return True
+            return probe
         # The part may have been released meanwhile.
         quarantined = self._evidence.quarantined(ids)
         if quarantined:
             raise self._refusal(quarantined, 'another request is the probe')
-        return False
+        return None
+
+    def return_probe(self, probe: Probe) -> None:
+        """Keep a probe that reached no target for the next prompt here."""
+        if self._evidence.return_probe(probe, self._clock.now()):
+            self._unspent.add(probe)
+            self._log.info(
+                'probe_unspent', part=probe.part, number=probe.number
+            )
 
     def may_repeat(self, parts: tuple[str, ...], target: Target) -> bool:
         """Return whether another target may get a prompt that broke."""
@@ -196,7 +215,7 @@
         now = self._clock.now()
         self._acquiring.add(probe)
         try:
-            granted = await self._writer.acquire(probe, lifetime)
+            granted = await self._take(probe, lifetime)
         except StoreUnavailableError as error:
             self._log.info('probe_unknown', part=probe.part, reason=str(error))
             return False
@@ -210,6 +229,24 @@
         )
         return granted
 
+    def _is_unspent(self, part: str, number: int) -> bool:
+        """Return whether a probe is one of this VM that reached no target."""
+        return any(
+            (probe.part, probe.number) == (part, number)
+            for probe in self._unspent
+        )
+
+    async def _take(self, probe: Probe, lifetime: str) -> bool:
+        """
+        Return whether a probe is this VM's.
+
+        :raises StoreUnavailableError: if that is unknown.
+        """
+        if probe in self._unspent:
+            self._unspent.discard(probe)
+            return True
+        return await self._writer.acquire(probe, lifetime)
+
     async def _report(self, end: PendingEnd, target: Target) -> None:
         """Report the parts under which a target ended, if it did."""
         await asyncio.sleep(END_CHECK_DELAY_S)
@@ -308,9 +345,10 @@
             self._log_quarantined(added)
         elif notice.kind is NoticeKind.PROBED:
             for part in notice.parts:
-                self._evidence.record_probe(
-                    part, notice.probe, notice.lifetime, now
-                )
+                if not self._is_unspent(part, notice.probe):
+                    self._evidence.record_probe(
+                        part, notice.probe, notice.lifetime, now
+                    )
         else:
             for part in notice.parts:
                 self._acquittals.pop(part, None)
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -13,6 +13,7 @@
     NoTargetError,
     TargetsLimitedError,
 )
+from fuchsiafork.quarantine import Probe
 
 # Targets that can't be connected to that one request tolerates.
 MAX_UNREACHED_TARGETS = 3
@@ -49,7 +50,9 @@
         # One sample for all attempts, so that a rollout assigns them to one
         # version.
         self._version_sample = shared.rng.random()
-        self._probing = False
+        self._probe: Probe | None = None
+        # Whether a target may have received any attempt.
+        self._sent = False
         # Target of the attempt in progress.
         self._state: TargetState | None = None
         self._patience = Patience(route, self._may_give_up)
@@ -63,6 +66,14 @@
         :param deadline: time by which a target must have answered, seconds.
         :raises FuchsiaforkError: if no target serves the request.
         """
+        try:
+            await self._run(deadline)
+        finally:
+            if self._probe is not None and not self._sent:
+                self._shared.quarantine.return_probe(self._probe)
+
+    async def _run(self, deadline: float) -> None:
+        """Attempt the request; see run()."""
         failure: Failure | None = None
         while True:
             state = await self._acquire_target()
@@ -125,8 +136,8 @@
 
         :raises QuarantinedError: if it may not.
         """
-        if not self._probing:
-            self._probing = await self._shared.quarantine.admit(
+        if self._probe is None:
+            self._probe = await self._shared.quarantine.admit(
                 self._answer_relay.shared_parts, state.target
             )
 
@@ -167,6 +178,7 @@
     ) -> None:
         """Release the resources of an attempt, even a cancelled one."""
         state.in_flight -= 1
+        self._sent = self._sent or call.sent
         self._record.add_attempt(state.target.target_id, outcome)
         if call.skipped_answers:
             self._shared.log.warning(
@@ -322,4 +334,6 @@
         """Return whether the prompt is not suspected of ending targets."""
         parts = self._answer_relay.shared_parts
         quarantine = self._shared.quarantine
-        return not self._probing and quarantine.may_repeat(parts, state.target)
+        return self._probe is None and quarantine.may_repeat(
+            parts, state.target
+        )
--- a/fuchsiafork/quarantine/evidence.py
+++ b/fuchsiafork/quarantine/evidence.py
@@ -131,6 +131,11 @@
             known != lifetime for known in suspect.ends
         )
 
+    def has_ended(self, part: str, lifetime: str) -> bool:
+        """Return whether a target is known to have ended under a part."""
+        suspect = self._suspects.get(part)
+        return suspect is not None and lifetime in suspect.ends
+
     def add_end(
         self,
         lifetime: str,
@@ -222,6 +227,23 @@
         suspect.next_probe_at = now + PROBE_INTERVAL_S * 2 ** (number - 1)
         suspect.probed_lifetime = lifetime
 
+    def return_probe(self, probe: Probe, now: float) -> bool:
+        """
+        Let this VM send a probe again, since it reached no target.
+
+        :return: whether it is still the last probe of the same quarantine.
+        """
+        suspect = self._suspects.get(probe.part)
+        if suspect is None or (suspect.series, suspect.probes) != (
+            probe.series,
+            probe.number,
+        ):
+            return False
+        suspect.probes = probe.number - 1
+        suspect.next_probe_at = now
+        suspect.probed_lifetime = ''
+        return True
+
     def refuse(self, part: str, now: float) -> bool:
         """Record a refusal; return whether to announce the quarantine."""
         suspect = self._suspects.get(part)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -153,6 +153,22 @@
         self.evidence.record_probe(PART, 1, 't-1', 1)
         self.assertEqual(self.probe(100 * PROBE_INTERVAL_S), 0)
 
+    def test_probe_that_reached_no_target_is_sent_again(self) -> None:
+        """Guards against waiting for the next probe after all targets ended."""
+        probe = self.evidence.next_probe(PART, 0)
+        self.evidence.record_probe(PART, probe.number, 'live', 0)
+        self.assertIsNone(self.evidence.next_probe(PART, 1))
+        self.assertTrue(self.evidence.return_probe(probe, 1))
+        self.assertEqual(self.evidence.next_probe(PART, 1), probe)
+
+    def test_probe_is_returned_only_while_it_is_the_last_one(self) -> None:
+        """Guards against a returned probe that undoes a later one."""
+        probe = self.evidence.next_probe(PART, 0)
+        self.evidence.record_probe(PART, probe.number, 'live', 0)
+        self.assertEqual(self.probe(PROBE_INTERVAL_S), 2)
+        self.assertFalse(self.evidence.return_probe(probe, PROBE_INTERVAL_S))
+        self.assertEqual(self.probe(PROBE_INTERVAL_S), 0)
+
     def test_another_target_that_ended_meanwhile_allows_a_probe(self) -> None:
         """Guards against a sound part that stays after a mass failure."""
         self.assertEqual(self.probe(0), 1)
--- a/tests/test_quarantine_troubles.py
+++ b/tests/test_quarantine_troubles.py
@@ -4,11 +4,15 @@
 import time
 from unittest import mock
 
+from fuchsiafork.gateway.notice_writer import QUARANTINE_PREFIX
+from fuchsiafork.quarantine import Notice, NoticeKind, encode_notice
+from fuchsiafork.quarantine.evidence import QUARANTINE_ENDS
 from fuchsiafork.transport.client_connection import ConnectError
 from standins.engine_fleet import prompt_headers
 from standins.link_proxies import LinkProxy
+from standins.platform_caller import Reply
 from standins.platform_store import StoreFault
-from standins.platform_targets import Behaviour
+from standins.platform_targets import Behaviour, PlatformTarget
 from tests.fleet_case import DOMAINS
 from tests.gateway_case import GatewayCase
 from tests.quarantine_case import (
@@ -218,6 +222,72 @@
         return [key for key in keys if key.startswith(prefix)]
 
 
+class TestUnspentProbes(GatewayCase):
+    """A sound part in quarantine whose first probe reaches no target."""
+
+    async def asyncSetUp(self) -> None:
+        """Put a part in quarantine, and end all engines."""
+        await super().asyncSetUp()
+        for engine in self.engines:
+            engine.stop()
+        for number in range(QUARANTINE_ENDS):
+            lifetime = f'ended-{number}@0'
+            notice = Notice(NoticeKind.ENDED, (FIRST_PART,), lifetime)
+            self.store.content.put(
+                f'{QUARANTINE_PREFIX}other/{number}', encode_notice(notice)
+            )
+        self.store.notify_watchers()
+        evidence = self.gateway._shared.quarantine._evidence
+        await self.eventually(lambda: evidence.quarantined((FIRST_PART,)))
+
+    async def test_next_prompt_is_the_probe(self) -> None:
+        """Guards against waiting for the second probe."""
+        self.assertEqual((await self._ask('r-1')).status, 503)
+        await self._add_engine()
+        replies = [await self._ask(f'r-{number}') for number in (2, 3, 4)]
+        self.assertEqual([reply.status for reply in replies], [200] * 3)
+
+    async def test_prompts_of_ended_targets_spend_no_probe(self) -> None:
+        """Guards against probes of a target whose end is known."""
+        for number, engine in enumerate(self.engines):
+            notice = Notice(
+                NoticeKind.ENDED, (FIRST_PART,), f'{engine.target_id}@0'
+            )
+            self.store.content.put(
+                f'{QUARANTINE_PREFIX}more/{number}', encode_notice(notice)
+            )
+        self.store.notify_watchers()
+        evidence = self.gateway._shared.quarantine._evidence
+        ends = QUARANTINE_ENDS + len(self.engines)
+        await self.eventually(lambda: evidence.ends(FIRST_PART) == ends)
+        self.assertEqual((await self._ask('r-1')).status, 503)
+        await self._add_engine()
+        self.assertEqual((await self._ask('r-2')).status, 200)
+
+    async def _ask(self, request_id: str) -> Reply:
+        """Send a prompt with the part."""
+        headers = prompt_headers(FIRST_PART, f'own-{request_id}')
+        return await self.call_engine(request_id=request_id, **headers)
+
+    async def _add_engine(self) -> None:
+        """Replace the engines by a sound one."""
+        engine = PlatformTarget('e-9', 'engine', 'a')
+        engine.behaviour = Behaviour(events=3)
+        await self.site.add_target(engine)
+        for ended in self.engines:
+            self.store.remove(f'servers/{ended.target_id}')
+        table = self.gateway._shared.targets
+        await self.eventually(
+            lambda: (
+                [
+                    state.target.target_id
+                    for state in table.accepting_targets('engine')
+                ]
+                == ['e-9']
+            )
+        )
+
+
 class TestOtherEnds(QuarantineCase):
     """Targets that end for reasons of their own."""
 
