Spread what all VMs ask of the store for the same reason

All VMs are cut off for 8 to 9 s, so that all leases of 4 s lapse; then all VMs claimed random slots, and one whose lease had ended claimed against a revision that was gone until its watch showed the end. A changed budget made all holders write at the same moment, where each success costs each other holder a call.

Ruled out: longer leases; a dead domain would wait that long for its holders.

Change: a VM whose lease has ended takes its own slot back, and the others wait for 1 s before they claim. Holders spread writes that have the same cause over 0.1 s each, and after two conflicts in a row over 20 ms each. Watches that fail are repeated after a random delay that doubles up to 1.6 s. Changes of slots and targets within 0.5 s share a call.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -38,8 +38,8 @@
 )
 from fuchsiafork.transport.pool import ConnectionPool
 
-# Each notice wakes all VMs, so that notices in succession share calls.
-NOTICE_BATCH_INTERVAL_S = 0.5
+# Each change wakes all VMs, so that changes in succession share calls.
+SHARED_BATCH_INTERVAL_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +108,12 @@
         log,
     )
     store = _make_store(dependencies)
-    target_watcher = _make_watcher(names.TARGETS_PREFIX, store, dependencies)
+    target_watcher = _make_watcher(
+        names.TARGETS_PREFIX,
+        store,
+        dependencies,
+        batch_interval_s=SHARED_BATCH_INTERVAL_S,
+    )
     instance_id = f'{settings.vm}#{secrets.token_hex(4)}'
     budgets = _make_budgets(dependencies, store, instance_id)
     writer = NoticeWriter(
@@ -161,7 +166,12 @@
         slots,
         Occupant(settings.vm, settings.peer_address),
         store,
-        _make_watcher(SLOTS_PREFIX, store, dependencies),
+        _make_watcher(
+            SLOTS_PREFIX,
+            store,
+            dependencies,
+            batch_interval_s=SHARED_BATCH_INTERVAL_S,
+        ),
         rng,
         log,
         settings.limits.link_mbps,
@@ -196,7 +206,7 @@
             QUARANTINE_PREFIX,
             store,
             dependencies,
-            batch_interval_s=NOTICE_BATCH_INTERVAL_S,
+            batch_interval_s=SHARED_BATCH_INTERVAL_S,
         ),
         targets,
         clock,
--- a/fuchsiafork/gateway/holder_election.py
+++ b/fuchsiafork/gateway/holder_election.py
@@ -24,6 +24,9 @@
 RENEWAL_INTERVAL_S = 1.3
 # Random delay of a claim, so that the first claims are seen by the others.
 MAX_CLAIM_DELAY_S = 0.1
+# Time in which VMs whose leases have lapsed claim their slots again. All leases
+# lapse when the store is away, and claims of other VMs would only conflict.
+RETURN_TIME_S = 1.0
 # VMs with a narrow link claim later, so that the VMs that answer the others
 # have wide links where there are any.
 NARROW_LINK_MBPS = 100.0
@@ -111,12 +114,20 @@
         elif own_slot is not None:
             # Left by an earlier process of this VM.
             await self._claim(own_slot)
+        elif self._slots.lapsed_slot is not None:
+            await self._claim(self._slots.lapsed_slot)
         elif self._slots.vacant_slots:
-            delay = self._rng.uniform(0, MAX_CLAIM_DELAY_S)
-            await asyncio.sleep(self._min_claim_delay_s + delay)
+            await asyncio.sleep(self._claim_delay_s())
             if not self._resigned:
                 await self._claim_vacant()
 
+    def _claim_delay_s(self) -> float:
+        """Return the delay before this VM claims a slot of another one."""
+        delay_s = self._min_claim_delay_s
+        if self._slots.awaits_former_occupants:
+            return delay_s + RETURN_TIME_S * self._rng.uniform(1, 2)
+        return delay_s + self._rng.uniform(0, MAX_CLAIM_DELAY_S)
+
     async def _claim_vacant(self) -> None:
         """Claim a vacant slot unless this VM occupies one meanwhile."""
         vacant = self._slots.vacant_slots
@@ -124,10 +135,13 @@
             await self._claim(self._rng.choice(vacant))
 
     async def _renew(self) -> None:
-        """Renew the lease; forget it if it has ended."""
+        """Renew the lease; forget it if it has ended, which frees its slot."""
+        own_slot = self._slots.own_slot
         if not await self._store.keep_lease(self._lease):
             self._log.warning('slot_lapsed')
             self._lease = 0
+            if own_slot is not None:
+                self._slots.vacate(own_slot)
             self._slots_changed.set()
 
     async def _claim(self, slot: Slot) -> None:
@@ -146,6 +160,9 @@
             )
             return
         for item in swap.current:
+            if item.value is None:
+                # It was removed after the revision that was expected.
+                self._slots.vacate(slot)
             self._apply_item(item)
         self._slots_changed.set()
 
--- a/fuchsiafork/gateway/prepaid_tokens.py
+++ b/fuchsiafork/gateway/prepaid_tokens.py
@@ -38,6 +38,12 @@
 WRITE_INTERVAL_S = 1.5
 # Shortest time between two writes, used while requests wait for tokens.
 MIN_WRITE_INTERVAL_S = 0.1
+# Time over which the writes of all holders are spread when they have the same
+# cause, for each holder.
+WRITE_SPREAD_S = 0.1
+# Time over which further attempts are spread after two conflicts in a row, for
+# each holder.
+CONFLICT_SPREAD_S = 0.02
 # Attempts in a row when other VMs write the record concurrently.
 MAX_WRITE_ATTEMPTS = 6
 # Limits of the time that a request waits for tokens: absolute, and as a
@@ -96,7 +102,7 @@
         if self._allocator.set_prepaid(prepaid):
             # Without a grant, the first request of a new account would have to
             # wait for a ledger write.
-            self.request_write()
+            self._spread_write()
 
     def request_write(self) -> None:
         """Schedule a ledger write even if no tokens were used."""
@@ -201,9 +207,9 @@
         await self._wait_for_sync(left)
 
     def notify_store_answered(self) -> None:
-        """Write at once if the store, which just answered, was unreachable."""
+        """Write soon if the store, which just answered, was unreachable."""
         if not self._store_reachable:
-            self._write_due.set()
+            self._spread_write()
 
     def settle(self, reservation: Reservation, tokens: int) -> None:
         """Close a reservation and charge the actual cost of the request."""
@@ -237,6 +243,21 @@
         self._allocator.begin_shutdown()
         await self._sync()
 
+    @property
+    def _holders(self) -> int:
+        """Number of VMs that may write the record."""
+        known = self._draws.holder_addresses('') if self._draws else ()
+        return max(self._allocator.fleet_size, len(known) + 1)
+
+    def _spread_write(self) -> None:
+        """Schedule a write for a reason that all holders have at once."""
+        if not self._allocator.holding:
+            self.request_write()
+            return
+        self._write_requested = True
+        delay_s = self._rng.uniform(0, WRITE_SPREAD_S * (self._holders - 1))
+        asyncio.get_running_loop().call_later(delay_s, self._write_due.set)
+
     @property
     def _interval_factor(self) -> float:
         """Factor by which a VM of a large fleet extends its write interval."""
@@ -346,13 +367,29 @@
         item = await self._store.read(LEDGER_KEY)
         if not self._must_write(item):
             return True
-        for _ in range(MAX_WRITE_ATTEMPTS):
+        for attempt in range(MAX_WRITE_ATTEMPTS):
             current = await self._compare_and_swap(item)
             if current is None:
                 return True
-            item = current
+            item = await self._avoid_conflict(attempt, current)
         return False
 
+    async def _avoid_conflict(self, attempt: int, current: Item) -> Item:
+        """
+        Return the record to change after a conflict.
+
+        Of many VMs that write at once and repeat at once, each attempt of one
+        costs all others a call; after the second conflict they draw lots.
+
+        :param attempt: number of attempts before the one that conflicted.
+        :raises StoreUnavailableError: if the store doesn't answer.
+        """
+        if not attempt:
+            return current
+        longest_s = CONFLICT_SPREAD_S * self._holders
+        await asyncio.sleep(self._rng.uniform(0, longest_s))
+        return await self._store.read(LEDGER_KEY)
+
     def _must_write(self, item: Item) -> bool:
         """Return whether this VM has anything to change in the record."""
         if self._allocator.holding:
--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -11,8 +11,12 @@
 
 # Time that a watch call waits for a change, unless it is set otherwise.
 WATCH_WAIT_S = 15.0
-# Mean delay between two calls while the store doesn't answer.
-RETRY_DELAY_S = 0.3
+# Delay between two calls while the store doesn't answer: at random up to the
+# first value, which doubles with each call up to the second.
+RETRY_DELAY_S = 0.4
+MIN_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.6
+MAX_DOUBLINGS = 8
 # Time between a change and the next call, which collects further changes:
 # otherwise each change of one item costs one call of each VM.
 BATCH_INTERVAL_S = 0.2
@@ -68,6 +72,8 @@
         self._log = log
         self._revision = 0
         self._newest_item = 0
+        # Calls in a row that failed.
+        self._failures = 0
 
     async def run(
         self,
@@ -85,7 +91,7 @@
             except StoreUnavailableError as error:
                 self._set_connected(connected=False, reason=str(error))
                 listed = listed and not self._newest_only
-                await asyncio.sleep(RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
+                await asyncio.sleep(self._retry_delay_s())
             else:
                 self._set_connected(connected=True)
                 self._apply(on_changes if listed else on_listing, changes)
@@ -118,10 +124,17 @@
             )
         else:
             changes = await self._store.list_items(self._prefix)
+        self._failures = 0
         self._revision = changes.revision
         self.last_contact_at = self._clock.now()
         return changes
 
+    def _retry_delay_s(self) -> float:
+        """Return the seconds until the next call after one that failed."""
+        longest = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**self._failures)
+        self._failures = min(self._failures + 1, MAX_DOUBLINGS)
+        return self._rng.uniform(MIN_RETRY_DELAY_S, longest)
+
     def _pause_s(self, changes: Changes, *, listed: bool) -> float:
         """Return the seconds until the next call."""
         if not listed:
--- a/fuchsiafork/prepaid/holder_slots.py
+++ b/fuchsiafork/prepaid/holder_slots.py
@@ -93,6 +93,25 @@
             None,
         )
 
+    @property
+    def lapsed_slot(self) -> Slot | None:
+        """The vacant slot that this VM occupied last, None if there is none."""
+        return next(
+            (
+                Slot(slot.domain, slot.number)
+                for slot in self._former.values()
+                if slot.occupant and slot.occupant.vm == self._vm
+            ),
+            None,
+        )
+
+    @property
+    def awaits_former_occupants(self) -> bool:
+        """Whether a vacant slot of this domain was another VM's before."""
+        return any(
+            slot.domain == self._domain for slot in self._former.values()
+        )
+
     @property
     def vacant_slots(self) -> list[Slot]:
         """The vacant slots of this VM's failure domain."""
@@ -121,6 +140,10 @@
         elif place in self._occupied:
             self._former[place] = self._occupied.pop(place)
 
+    def vacate(self, slot: Slot) -> None:
+        """Mark a slot as vacant unless it was occupied anew meanwhile."""
+        self.update(Slot(slot.domain, slot.number, slot.revision))
+
     def ranked_addresses(self, key: str) -> list[str]:
         """
         Return the addresses of all occupants for a key, this VM included.
