--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -112,7 +112,6 @@
         names.TARGETS_PREFIX,
         store,
         dependencies,
-        batch_interval_s=SHARED_BATCH_INTERVAL_S,
     )
     instance_id = f'{settings.vm}#{secrets.token_hex(4)}'
     budgets = _make_budgets(dependencies, store, instance_id)
