Tell an answer of the store from a copy of an earlier one

Cause: answers of the store have no ids. A copy of an earlier answer, written ahead of the next one on the connection, was taken as the answer to whatever call was in progress: a read of the ledger got the configuration.

Change: an answer counts only if its keys are those that were asked for, and its revision is not before the one that the call names. Otherwise the outcome of the call is unknown, as for a lost answer. Calls between VMs are answered by this program alone, which writes each answer once; they are unchanged.

--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -4,7 +4,7 @@
 import contextlib
 import dataclasses
 import urllib.parse
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Iterable
 from typing import Any
 
 from fuchsiafork.kernel.errors import StoreUnavailableError
@@ -128,7 +128,9 @@
             return Item(key, 0, None)
         _check_status(answer, _OK)
         with _parsing('an item'):
-            return _parse_item(answer.body)
+            item = _parse_item(answer.body)
+        _check_keys((item,), key)
+        return item
 
     async def list_items(self, prefix: str) -> Changes:
         """
@@ -151,6 +153,7 @@
                 page_items = [_parse_item(item) for item in page['items']]
                 revision = revision or int(page['storeRevision'])
                 has_more = bool(page['hasMore'])
+            _check_keys(page_items, prefix)
             items += page_items
             if not has_more or not page_items:
                 return Changes(tuple(items), revision, transfer_s)
@@ -180,6 +183,9 @@
         with _parsing('changes'):
             items = tuple(_parse_item(item) for item in answer.body['events'])
             revision = int(answer.body['storeRevision'])
+        _check_keys(items, prefix)
+        if revision < after:
+            raise StoreOutcomeUnknownError(f'the answer is of {revision}')
         return Changes(items, revision, answer.transfer_s)
 
     async def swap(
@@ -219,7 +225,10 @@
                 return Swap(0, tuple(_parse_item(item) for item in current))
         _check_status(answer, _OK)
         with _parsing('a revision'):
-            return Swap(int(answer.body['revision']))
+            written = int(answer.body['revision'])
+        if written <= revision:
+            raise StoreOutcomeUnknownError(f'the answer is of {written}')
+        return Swap(written)
 
     async def grant_lease(self, ttl_s: float) -> int:
         """
@@ -306,6 +315,19 @@
     raise StoreOutcomeUnknownError(reason)
 
 
+def _check_keys(items: Iterable[Item], prefix: str) -> None:
+    """
+    Check that an answer belongs to a call, as answers have no ids.
+
+    :raises StoreOutcomeUnknownError: if it names a key not asked for.
+    """
+    for item in items:
+        if not item.key.startswith(prefix):
+            raise StoreOutcomeUnknownError(
+                f'the answer names {item.key!r} in place of {prefix!r}'
+            )
+
+
 @contextlib.contextmanager
 def _parsing(content: str) -> Generator[None, None, None]:
     """
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -13,6 +13,7 @@
 from fuchsiafork.kernel import Clock
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
 from standins.loopback import LoopbackService
+from standins.raw_connection import RawConnection, encode_response
 
 _MS_PER_S = 1000
 _RATE_WINDOW_S = 1.0
@@ -140,6 +141,8 @@
 
     :ivar fault: fault injected into every call.
     :ivar malformed_body: body of each answer of the fault ``MALFORMED``.
+    :ivar copies_answers: whether each answer is written once more when the
+        next call arrives on its connection, ahead of that call's answer.
     :ivar lost_answers: number of next writes that take effect, but whose
         connection is aborted instead of an answer.
     :ivar lost_write_delay_s: seconds after the abort at which such a write
@@ -157,6 +160,7 @@
         self.content = StoreContent(clock)
         self.fault = StoreFault.NONE
         self.malformed_body = b''
+        self.copies_answers = False
         self.lost_answers = 0
         self.lost_write_delay_s = 0.0
         self.lost_watches = 0
@@ -168,7 +172,7 @@
         self._writes_per_s = writes_per_s
         self._writes: collections.deque[float] = collections.deque()
         self._changed = asyncio.Event()
-        super().__init__(self._serve)
+        super().__init__(self._serve, RawConnection)
 
     def put(self, key: str, value: Any) -> None:
         """Write a JSON value, as the operator or a target does."""
@@ -192,16 +196,9 @@
     ) -> None:
         """Answer a call, or inject the configured fault."""
         self.calls[request.path] += 1
-        if self.fault is StoreFault.SILENT:
-            await asyncio.sleep(60)
-        if self.fault is StoreFault.RESET:
-            caller.abort()
-            return
-        if self.fault is StoreFault.BUSY:
-            caller.answer(503, [], b'')
-            return
-        if self.fault is StoreFault.MALFORMED:
-            caller.answer(200, [], self.malformed_body)
+        if isinstance(caller, RawConnection):
+            caller.write_late_copy()
+        if await self._inject_fault(caller):
             return
         query = dict(urllib.parse.parse_qsl(request.target.partition('?')[2]))
         body = json.loads(request.body) if request.body else {}
@@ -216,6 +213,22 @@
         content = json.dumps(answer).encode()
         self.watched_bytes[query.get('prefix', '')] += len(content)
         caller.answer(status, headers, content)
+        if self.copies_answers and isinstance(caller, RawConnection):
+            caller.late_copy = encode_response(status, headers, content)
+
+    async def _inject_fault(self, caller: CallerConnection) -> bool:
+        """Answer a call as the configured fault does; return whether it did."""
+        if self.fault is StoreFault.SILENT:
+            await asyncio.sleep(60)
+        if self.fault is StoreFault.RESET:
+            caller.abort()
+        elif self.fault is StoreFault.BUSY:
+            caller.answer(503, [], b'')
+        elif self.fault is StoreFault.MALFORMED:
+            caller.answer(200, [], self.malformed_body)
+        else:
+            return False
+        return True
 
     def _loses(self, path: str, answer: Any) -> bool:
         """Return whether the answer to a watch with changes is lost."""
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -9,6 +9,7 @@
 
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
 from standins.loopback import LoopbackService
+from standins.raw_connection import RawConnection, encode_response
 
 EVENT_TOKENS = 5
 # Only this many of the last runs are checked for being in progress.
@@ -57,29 +58,6 @@
     drip: bytes = b''
 
 
-class RawConnection(CallerConnection):
-    """
-    A connection that can send bytes that are no valid answer.
-
-    :ivar late_copy: bytes to send when the next request arrives.
-    :ivar used: whether a request has arrived.
-    """
-
-    late_copy = b''
-    used = False
-
-    def write_late_copy(self) -> None:
-        """Send the copy of an earlier answer, if there is one."""
-        copy, self.late_copy = self.late_copy, b''
-        if copy:
-            self.write_raw(copy)
-
-    def write_raw(self, data: bytes) -> None:
-        """Send bytes without HTTP framing."""
-        if self._transport is not None:
-            self._transport.write(data)
-
-
 @dataclasses.dataclass(slots=True)
 class Run:
     """
@@ -213,7 +191,7 @@
             headers.append(('x-attempt-id', request_id))
         caller.answer(behaviour.status, headers, b'')
         if behaviour.repeat_refusal and isinstance(caller, RawConnection):
-            caller.late_copy = _encode_refusal(behaviour.status, headers)
+            caller.late_copy = encode_response(behaviour.status, headers, b'')
 
     async def _answer(
         self,
@@ -298,13 +276,6 @@
     caller.abort()
 
 
-def _encode_refusal(status: int, headers: list[tuple[str, str]]) -> bytes:
-    """Return the bytes of a refusal."""
-    lines = [f'HTTP/1.1 {status} Refused', 'content-length: 0']
-    lines += [f'{name}: {text}' for name, text in headers]
-    return '\r\n'.join([*lines, '', '']).encode()
-
-
 def _encode_answer(request_id: str, body: bytes) -> bytes:
     """Return the bytes of a complete answer to a request."""
     head = (
--- a/tests/test_gateway_crossed_answers.py
+++ b/tests/test_gateway_crossed_answers.py
@@ -1,7 +1,11 @@
 """Copies of earlier answers on connections that are in use again."""
 
+import asyncio
+import contextlib
 import itertools
+import json
 
+from fuchsiafork.kernel.errors import StoreUnavailableError
 from standins.platform_caller import Reply
 from standins.platform_targets import Behaviour
 from tests.gateway_case import GatewayCase
@@ -14,6 +18,32 @@
 REFUSED_WITHIN_MS = '500'
 
 
+class TestCopiesOfTheStore(GatewayCase):
+    """The store writes each answer once more, ahead of the next one."""
+
+    async def test_copy_is_not_the_answer_to_another_call(self) -> None:
+        """Guards against a target table filled from another key's answer."""
+        targets = self.gateway._shared.targets.ids()
+        self.store.copies_answers = True
+        for number in range(4):
+            self.store.content.put(f'op/other-{number}', b'{}')
+            self.store.content.put(f'servers/{targets[0]}', self._entry())
+            self.store.notify_watchers()
+            await self.call_engine('/ask/1', request_id=f'r-{number}')
+            await asyncio.sleep(0.3)
+        store = self.gateway._components.store
+        for key in ('op/config', 'fuchsiafork/ledger') * 3:
+            with contextlib.suppress(StoreUnavailableError):
+                self.assertEqual((await store.read(key)).key, key)
+        self.assertEqual(set(self.gateway._shared.targets.ids()), set(targets))
+        self.store.copies_answers = False
+        self.assertEqual((await self.call('/look/1')).status, 200)
+
+    def _entry(self) -> bytes:
+        """Return the stored entry of the first target."""
+        return json.dumps(self.plain[0].entry).encode()
+
+
 class TestRepeatedRefusals(GatewayCase):
     """A target writes a refusal once more, ahead of the next answer."""
 
