Name what decides on silent targets, and share the errors of decoders

Cause: the diff read as a newcomer would: "patience" is no term of the field, and one tuple of decoder errors stood three times.

Change: SilencePolicy in gateway/silence_policy.py, DECODE_ERRORS in kernel/decoding.py. No behaviour changes but that a store answer that is nested too deeply is malformed also where its items are parsed.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -8,7 +8,7 @@
     EventStreamParser,
     OversizedEventError,
 )
-from fuchsiafork.gateway.silence import Patience, read_patiently
+from fuchsiafork.gateway.silence_policy import SilencePolicy, read_with_timeout
 from fuchsiafork.gateway.target_call import AnswerHead, TargetCall
 from fuchsiafork.gateway.targets import Target
 from fuchsiafork.kernel import FuchsiaforkError
@@ -113,7 +113,7 @@
         self._on_begun = on_begun
         self._event_parser = EventStreamParser()
         self._events_before_attempt = 0
-        self._patience = Patience(route)
+        self._silence_policy = SilencePolicy(route)
 
     @property
     def affinity_key(self) -> str:
@@ -144,14 +144,14 @@
         self,
         call: TargetCall,
         remaining_s: float,
-        patience: Patience,
+        silence_policy: SilencePolicy,
     ) -> Failure | None:
         """
         Return why the attempt failed, None once the answer was sent.
 
-        :param patience: decides how long the target may be silent.
+        :param silence_policy: decides how long the target may be silent.
         """
-        self._patience = patience
+        self._silence_policy = silence_policy
         self._events_before_attempt = self._event_parser.event_count
         try:
             await self._send(call, remaining_s)
@@ -220,10 +220,10 @@
     async def _read_head(self, call: TargetCall) -> AnswerHead:
         """Return the answer's head."""
         request_id = self._metadata.request_id
-        return await read_patiently(
+        return await read_with_timeout(
             lambda: call.read_head(request_id),
-            self._patience,
-            self._patience.head_timeout_s(self._event_parser.event_count),
+            self._silence_policy,
+            self._silence_policy.head_timeout_s(self._event_parser.event_count),
         )
 
     @property
@@ -268,10 +268,10 @@
 
     async def _read_chunk(self, call: TargetCall) -> bytes:
         """Return the next bytes of a stream, empty at its end."""
-        return await read_patiently(
+        return await read_with_timeout(
             call.read_chunk,
-            self._patience,
-            self._patience.gap_timeout_s(self._event_parser.event_count),
+            self._silence_policy,
+            self._silence_policy.gap_timeout_s(self._event_parser.event_count),
         )
 
     def _send_head(self, head: AnswerHead) -> None:
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -108,11 +108,7 @@
         log,
     )
     store = _make_store(dependencies)
-    target_watcher = _make_watcher(
-        names.TARGETS_PREFIX,
-        store,
-        dependencies,
-    )
+    target_watcher = _make_watcher(names.TARGETS_PREFIX, store, dependencies)
     instance_id = f'{settings.vm}#{secrets.token_hex(4)}'
     budgets = _make_budgets(dependencies, store, instance_id)
     writer = NoticeWriter(
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from fuchsiafork.kernel import Clock
+from fuchsiafork.kernel.decoding import DECODE_ERRORS
 from fuchsiafork.kernel.errors import FuchsiaforkError
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
 from fuchsiafork.transport.client_connection import (
@@ -33,16 +34,7 @@
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 
-# Raised by a handler, or by the decoder, for content that is invalid.
-_CONTENT_ERRORS = (
-    ValueError,
-    TypeError,
-    LookupError,
-    AttributeError,
-    ArithmeticError,
-    RecursionError,
-)
-# Answers the content of a call; one of the errors above if it is invalid.
+# Answers the content of a call; raises one of DECODE_ERRORS if it is invalid.
 Handler = Callable[[Any], Coroutine[Any, Any, Any]]
 
 
@@ -184,7 +176,7 @@
             return
         try:
             answer = await handler(json.loads(request.body))
-        except _CONTENT_ERRORS as error:
+        except DECODE_ERRORS as error:
             self._log.warning('peer_unreadable', reason=repr(error))
             caller.answer(_BAD_REQUEST, [], b'')
         except CallRefusedError as refusal:
--- a/fuchsiafork/gateway/prepaid_tokens.py
+++ b/fuchsiafork/gateway/prepaid_tokens.py
@@ -371,15 +371,16 @@
             current = await self._compare_and_swap(item)
             if current is None:
                 return True
-            item = await self._avoid_conflict(attempt, current)
+            item = await self._next_record(attempt, current)
         return False
 
-    async def _avoid_conflict(self, attempt: int, current: Item) -> Item:
+    async def _next_record(self, attempt: int, current: Item) -> Item:
         """
         Return the record to change after a conflict.
 
-        Of many VMs that write at once and repeat at once, each attempt of one
-        costs all others a call; after the second conflict they draw lots.
+        Where many VMs write at once, each success makes the writes of all
+        others conflict, so that from the second conflict on they retry at
+        random times.
 
         :param attempt: number of attempts before the one that conflicted.
         :raises StoreUnavailableError: if the store doesn't answer.
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -4,7 +4,7 @@
 from fuchsiafork.gateway.configuration import Route
 from fuchsiafork.gateway.request_record import RequestRecord
 from fuchsiafork.gateway.shared_state import SharedState
-from fuchsiafork.gateway.silence import Patience
+from fuchsiafork.gateway.silence_policy import SilencePolicy
 from fuchsiafork.gateway.target_call import TargetCall
 from fuchsiafork.gateway.target_selection import SelectionCriteria
 from fuchsiafork.gateway.targets import TargetState
@@ -55,7 +55,7 @@
         self._sent = False
         # Target of the attempt in progress.
         self._state: TargetState | None = None
-        self._patience = Patience(route, self._may_give_up)
+        self._silence_policy = SilencePolicy(route, self._may_give_up)
         # Whether the fleet has allowed the next attempt already.
         self._retry_acquired = False
 
@@ -149,7 +149,7 @@
         call = TargetCall(state, shared.pool, shared.clock)
         remaining_s = max(0.0, deadline - shared.clock.now())
         self._state = state
-        self._patience.start_attempt()
+        self._silence_policy.start_attempt()
         state.in_flight += 1
         shared.log.info(
             'request_sent',
@@ -162,7 +162,7 @@
         outcome = 'given_up'
         try:
             failure = await self._answer_relay.attempt(
-                call, remaining_s, self._patience
+                call, remaining_s, self._silence_policy
             )
             outcome = str(failure.error.code) if failure else 'served'
         finally:
--- a/fuchsiafork/gateway/silence.py
+++ b/fuchsiafork/gateway/silence_policy.py
@@ -19,7 +19,7 @@
 MayGiveUp = Callable[[], Coroutine[Any, Any, bool]]
 
 
-class Patience:
+class SilencePolicy:
     """
     How long the targets of one request may be silent.
 
@@ -87,9 +87,9 @@
         return seconds
 
 
-async def read_patiently(
+async def read_with_timeout(
     read: Callable[[], Coroutine[Any, Any, _Read]],
-    patience: Patience,
+    silence_policy: SilencePolicy,
     timeout_s: float | None,
 ) -> _Read:
     """
@@ -102,11 +102,11 @@
         async with asyncio.timeout(timeout_s):
             return await read()
     except TimeoutError:
-        if await patience.give_up():
+        if await silence_policy.give_up():
             raise BrokenAnswerError(
                 f'no data for {timeout_s:.1f} s', silent=True
             ) from None
     return await read()
 
 
-__all__ = ('Patience', 'read_patiently')
+__all__ = ('SilencePolicy', 'read_with_timeout')
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Generator, Iterable
 from typing import Any
 
+from fuchsiafork.kernel.decoding import DECODE_ERRORS
 from fuchsiafork.kernel.errors import StoreUnavailableError
 from fuchsiafork.transport.client_connection import (
     BrokenAnswerError,
@@ -31,13 +32,6 @@
 _GONE = 410
 _NOT_EXECUTED_STATUSES = frozenset((400, 403, 404, 429, 503))
 _MS_PER_S = 1000
-_PARSE_ERRORS = (
-    ValueError,
-    TypeError,
-    LookupError,
-    AttributeError,
-    ArithmeticError,
-)
 
 
 class HistoryGoneError(Exception):
@@ -337,7 +331,7 @@
     """
     try:
         yield
-    except _PARSE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise StoreOutcomeUnknownError(
             f'the answer is not {content}: {error!r}'
         ) from None
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -12,18 +12,10 @@
 import math
 from typing import Any
 
+from fuchsiafork.kernel.decoding import DECODE_ERRORS
 from fuchsiafork.kernel.errors import StoreFormatError
 from fuchsiafork.prepaid.fleet_time import MAX_CLOCK_DIFFERENCE_S
 
-_DECODE_ERRORS = (
-    ValueError,
-    TypeError,
-    LookupError,
-    AttributeError,
-    ArithmeticError,
-    RecursionError,
-)
-
 # A holder that hasn't written for this long is ignored when grants are sized,
 # but keeps its grant.
 LIVENESS_TIMEOUT_S = 20.0
@@ -248,7 +240,7 @@
         return Ledger()
     try:
         return _decode_record(json.loads(value))
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise StoreFormatError(f'ledger: {error!r}') from None
 
 
--- a/tests/test_quarantine_troubles.py
+++ b/tests/test_quarantine_troubles.py
@@ -245,7 +245,7 @@
         self.assertEqual((await self._ask('r-1')).status, 503)
         await self._add_engine()
         replies = [await self._ask(f'r-{number}') for number in (2, 3, 4)]
-        self.assertEqual([reply.status for reply in replies], [200] * 3)
+        self.assertEqual([reply.status for reply in replies], [200, 200, 200])
 
     async def test_prompts_of_ended_targets_spend_no_probe(self) -> None:
         """Guards against probes of a target whose end is known."""
