Log how long a configuration took to arrive, and each slow answer of the store

A configuration that is late because its transfer is slow, and one that is late because no answer came, left the same lines. configuration_applied now names the store's revision, the bytes and the seconds of the transfer; slow_transfer is logged also when the answer brings no newer version.

--- a/fuchsiafork/gateway/store_feeds.py
+++ b/fuchsiafork/gateway/store_feeds.py
@@ -31,17 +31,18 @@
     def apply_changes(self, changes: Changes) -> None:
         """Apply the newest valid configuration among changed items."""
         documents = [
-            item.value
+            item
             for item in changes.items
             if item.key == names.CONFIGURATION_KEY and item.value
         ]
         # Older documents of a batch are parsed only if the newest is invalid.
         for document in reversed(documents):
-            if self._apply_document(document):
+            if self._apply_document(document, changes.transfer_s):
                 break
 
-    def _apply_document(self, value: bytes) -> bool:
+    def _apply_document(self, document: Item, transfer_s: float) -> bool:
         """Apply a document if it is newer; return whether it is valid."""
+        value = document.value or b''
         try:
             configuration = parse_configuration(value)
         except ConfigurationError as error:
@@ -50,7 +51,11 @@
         if configuration.version > self._version:
             self._version = configuration.version
             self._log.info(
-                'configuration_applied', version=configuration.version
+                'configuration_applied',
+                version=configuration.version,
+                revision=document.revision,
+                bytes=len(value),
+                transfer_s=round(transfer_s, 2),
             )
             self._apply(configuration)
         return True
--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -94,6 +94,7 @@
                 await asyncio.sleep(self._retry_delay_s())
             else:
                 self._set_connected(connected=True)
+                self._log_slow_transfer(changes, listed=listed)
                 self._apply(on_changes if listed else on_listing, changes)
                 listed = not (self._newest_only and self._falls_behind(changes))
                 await asyncio.sleep(self._pause_s(changes, listed=listed))
@@ -148,6 +149,18 @@
         self._newest_item = max(self._newest_item, newest)
         return changed and changes.transfer_s > SLOW_TRANSFER_S
 
+    def _log_slow_transfer(self, changes: Changes, *, listed: bool) -> None:
+        """Log an answer that took long to receive."""
+        if changes.transfer_s > SLOW_TRANSFER_S:
+            self._log.info(
+                'slow_transfer',
+                prefix=self._prefix,
+                listing=not listed,
+                items=len(changes.items),
+                revision=changes.revision,
+                transfer_s=round(changes.transfer_s, 2),
+            )
+
     def _set_connected(self, *, connected: bool, reason: str = '') -> None:
         """Set the connection state; log and time its changes."""
         if connected != self.connected:
