Show with a test that a route is unknown two seconds after it was confirmed

Each of six routes, added 0.8 s apart to a document that takes two seconds over the link of one of three VMs, is answered with 404 there two seconds after the store acknowledged it. The document is received whole for each change, and a transfer that began before a change brings the older one.

--- /dev/null
+++ b/tests/test_late_configuration.py
@@ -0,0 +1,82 @@
+"""Confirmed changes of a large configuration, at VMs with a narrow link."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from fuchsiafork.observability.logs import configure_logs
+from standins.narrow_link import NarrowLink
+from standins.platform_caller import Call, call_once
+from standins.platform_site import PlatformSite, make_route
+from standins.platform_targets import PlatformTarget
+from tests.gateway_case import make_configuration
+
+# A document of this many routes takes about two seconds over the link.
+ROUTES = 1200
+LINK_BYTES_PER_S = 200_000
+CHANGES = 6
+CHANGE_INTERVAL_S = 0.8
+# Time within which an acknowledged change must be applied.
+APPLY_LIMIT_S = 2.0
+OK_STATUS = 200
+NARROW_VM = 'c-3'
+
+
+class TestNarrowLink(unittest.IsolatedAsyncioTestCase):
+    """A VM whose link carries a document slower than they are written."""
+
+    async def asyncSetUp(self) -> None:
+        """Start two VMs and one with a narrow link to the store."""
+        configure_logs('critical')
+        asyncio.get_running_loop().set_debug(False)
+        self.site = PlatformSite()
+        self.document = make_configuration()
+        self.document['routes'] += [
+            make_route(f'/idle-{number}/', 'safe', 'plain', public=True)
+            for number in range(ROUTES)
+        ]
+        await self.site.start(
+            self.document, [PlatformTarget('p-1', 'plain', 'a')]
+        )
+        self.link = NarrowLink(self.site.store.address, LINK_BYTES_PER_S)
+        await self.link.start()
+        await self.site.add_gateway('a-1', 'a')
+        await self.site.add_gateway('b-2', 'b')
+        await self.site.add_gateway(NARROW_VM, 'c', self.link.address)
+
+    async def asyncTearDown(self) -> None:
+        """Stop everything."""
+        await self.site.stop()
+        await self.link.stop()
+
+    def write_change(self, **fields: Any) -> None:
+        """Write a newer configuration with some fields changed."""
+        self.document = {
+            **self.document,
+            'version': self.document['version'] + 1,
+            **fields,
+        }
+        self.site.store.put('op/config', self.document)
+
+    def add_route(self, prefix: str) -> None:
+        """Write a configuration with one more route."""
+        added = make_route(prefix, 'safe', 'plain', public=True)
+        self.write_change(routes=[*self.document['routes'], added])
+
+    async def status_after_limit(self, prefix: str) -> int:
+        """Add a route; return the status of a request after the limit."""
+        self.add_route(prefix)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        call = Call(f'{prefix}1', request_id=f'r-{prefix.strip("/")}')
+        reply = await call_once(self.site.ports[NARROW_VM], call)
+        return reply.status
+
+    async def test_route_added_in_a_storm_is_served_in_time(self) -> None:
+        """Guards against 404 for a route that was confirmed long before."""
+        calls = []
+        for number in range(CHANGES):
+            call = self.status_after_limit(f'/added-{number}/')
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+        statuses = await asyncio.gather(*calls)
+        self.assertEqual(statuses, [OK_STATUS] * CHANGES)
