Pass changes of a large configuration on between VMs as differences

Callers got 404 for routes that the store had acknowledged more than 3 s before. Cause: each VM receives the whole document from the store for each change, 400 KB in its encoded form, which a full link of 10 Mbit/s carries in 2.6 s (two calls, 799,022 bytes in 5.2 s on the VM of the incident, which still used version 68 when 71 had been acknowledged for 6.3 s). A transfer that begins just before a change brings the older version, so that a change takes two transfers and a pause. Class: what is the same for all VMs is sent whole to each, over the link that requests fill.

A VM whose link takes over 0.1 s for the document now asks two holders for changes and gets the difference from its own document. The watch of the store goes on; whichever source brings a change first counts, and a call to the store that may bring an older one is given up. An answer of another VM doesn't count as contact with the store.

With the other VMs cut off from the store the change still arrives by the store itself.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -10,6 +10,7 @@
 from fuchsiafork.gateway.fleet_limits import FleetLimits
 from fuchsiafork.gateway.fleet_retries import FleetRetries
 from fuchsiafork.gateway.holder_election import SLOTS_PREFIX, HolderElection
+from fuchsiafork.gateway.item_replication import ItemReplication
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.notice_writer import QUARANTINE_PREFIX, NoticeWriter
 from fuchsiafork.gateway.peers import Peers
@@ -48,6 +49,7 @@
     The components of a gateway process.
 
     :ivar configuration_watcher: follows the operator's items in the store.
+    :ivar operator_items: obtains the operator's items from other VMs.
     :ivar target_watcher: follows the registered entries of targets.
     :ivar target_feed: applies these entries to the target table.
     :ivar clock_check: compares the clock with those of other VMs.
@@ -60,6 +62,7 @@
     shared: SharedState
     store: PlatformStore
     configuration_watcher: Watcher
+    operator_items: ItemReplication
     target_watcher: Watcher
     target_feed: TargetFeed
     clock_check: ClockCheck
@@ -117,14 +120,22 @@
     shared = _make_shared_state(
         dependencies, store, budgets, writer, instance_id
     )
+    configuration_watcher = _make_watcher(
+        names.OPERATOR_PREFIX, store, dependencies, newest_only=True
+    )
     return Components(
         shared=shared,
         store=store,
-        configuration_watcher=_make_watcher(
-            names.OPERATOR_PREFIX,
-            store,
-            dependencies,
-            newest_only=True,
+        configuration_watcher=configuration_watcher,
+        operator_items=ItemReplication(
+            settings.vm,
+            settings.limits.link_mbps,
+            configuration_watcher,
+            budgets.slots,
+            budgets.peers,
+            dependencies.rng,
+            dependencies.metrics.passed_on_changes.inc,
+            log,
         ),
         target_watcher=target_watcher,
         target_feed=TargetFeed(shared.targets, target_watcher, clock, log),
--- /dev/null
+++ b/fuchsiafork/gateway/item_mirror.py
@@ -0,0 +1,144 @@
+"""The last changes under a prefix of the store, as one VM knows them."""
+
+import collections
+
+from fuchsiafork.platform.store import Changes, Item
+from fuchsiafork.replication import (
+    ChangesAnswer,
+    ChangesRequest,
+    Delta,
+    DeltaError,
+    SharedChange,
+    apply_delta,
+    digest_value,
+    make_delta,
+)
+
+# Smaller values are sent whole.
+MIN_DELTA_BYTES = 1024
+# Large values that are kept, so that VMs that are a few versions behind get
+# differences.
+MAX_KEPT_VALUES = 8
+
+
+class ItemMirror:
+    """
+    The last change of each item, deletions included.
+
+    :ivar revision: revision of the store up to which changes are known.
+    """
+
+    def __init__(self) -> None:
+        """Start without items."""
+        self.revision = 0
+        self._changed_at_revision = 0
+        self._items: dict[str, Item] = {}
+        self._digests: dict[str, str] = {}
+        self._kept: collections.OrderedDict[str, bytes] = (
+            collections.OrderedDict()
+        )
+        # Differences that were made, by the digests of both values: most VMs
+        # ask for the same ones.
+        self._deltas: dict[tuple[str, str], Delta] = {}
+
+    @property
+    def digests(self) -> dict[str, str]:
+        """Digests of the large values, by key."""
+        return dict(self._digests)
+
+    @property
+    def largest_bytes(self) -> int:
+        """Size of the largest value."""
+        sizes = (len(item.value or b'') for item in self._items.values())
+        return max(sizes, default=0)
+
+    def apply_listing(self, listing: Changes) -> None:
+        """Apply a complete listing; items that it lacks were deleted."""
+        listed = {item.key for item in listing.items}
+        deleted = tuple(
+            Item(key, listing.revision, None)
+            for key, item in self._items.items()
+            if key not in listed and item.value is not None
+        )
+        self.apply(Changes((*listing.items, *deleted), listing.revision))
+
+    def apply(self, changes: Changes) -> None:
+        """Apply changes; those older than the known ones have no effect."""
+        for item in changes.items:
+            known = self._items.get(item.key)
+            if known is None or known.revision < item.revision:
+                self._store(item)
+        self.revision = max(self.revision, changes.revision)
+
+    def has_changes(self, request: ChangesRequest) -> bool:
+        """Return whether another VM doesn't know the last change."""
+        newest = min(self.revision, self._changed_at_revision)
+        return newest > request.after
+
+    def answer(self, request: ChangesRequest) -> ChangesAnswer:
+        """Return the changes that another VM doesn't know."""
+        return ChangesAnswer(
+            self.revision,
+            tuple(
+                self._share(item, request.digests.get(item.key, ''))
+                for item in self._items.values()
+                if item.revision > request.after
+            ),
+        )
+
+    def read(self, answer: ChangesAnswer) -> Changes:
+        """
+        Return the changes in the answer of another VM.
+
+        :raises DeltaError: if one differs from a value that isn't known.
+        """
+        items = (self._restore(change) for change in answer.changes)
+        ordered = sorted(items, key=lambda item: item.revision)
+        return Changes(tuple(ordered), answer.revision)
+
+    def _store(self, item: Item) -> None:
+        """Keep the last change of an item."""
+        self._items[item.key] = item
+        self._digests.pop(item.key, None)
+        self._changed_at_revision = max(
+            self._changed_at_revision, item.revision
+        )
+        self._deltas.clear()
+        if item.value is None or len(item.value) < MIN_DELTA_BYTES:
+            return
+        digest = digest_value(item.value)
+        self._digests[item.key] = digest
+        self._kept[digest] = item.value
+        self._kept.move_to_end(digest)
+        if len(self._kept) > MAX_KEPT_VALUES:
+            self._kept.popitem(last=False)
+
+    def _share(self, item: Item, known_digest: str) -> SharedChange:
+        """Return a change, as a difference from a known value if possible."""
+        if item.value is None:
+            return SharedChange(item.key, item.revision, None)
+        digests = (known_digest, self._digests.get(item.key, ''))
+        delta = self._deltas.get(digests)
+        if delta is None:
+            delta = make_delta(self._kept.get(known_digest), item.value)
+            if all(digests):
+                self._deltas[digests] = delta
+        return SharedChange(item.key, item.revision, delta)
+
+    def _restore(self, change: SharedChange) -> Item:
+        """
+        Return the item of a change.
+
+        :raises DeltaError: if it differs from a value that isn't known.
+        """
+        if change.delta is None:
+            return Item(change.key, change.revision, None)
+        base = self._kept.get(change.delta.base)
+        if base is None and change.delta.base:
+            raise DeltaError(f'{change.delta.base!r} is not known')
+        return Item(
+            change.key, change.revision, apply_delta(base, change.delta)
+        )
+
+
+__all__ = ('ItemMirror',)
--- /dev/null
+++ b/fuchsiafork/gateway/item_replication.py
@@ -0,0 +1,172 @@
+"""Passes changes of large values on from VM to VM."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from typing import Any
+
+from fuchsiafork.gateway.item_mirror import ItemMirror
+from fuchsiafork.gateway.peers import (
+    OK_STATUS,
+    CallLimits,
+    Peers,
+    PeerSilentError,
+)
+from fuchsiafork.gateway.watcher import SLOW_TRANSFER_S, Watcher
+from fuchsiafork.kernel.decoding import DECODE_ERRORS
+from fuchsiafork.platform.store import Changes
+from fuchsiafork.prepaid import HolderSlots
+from fuchsiafork.replication import encode_answer, read_answer, read_request
+
+CHANGES_PATH = '/changes'
+# Time that a call waits for a change at another VM.
+WAIT_S = 5.0
+# Time for its answer on a link that is full.
+ANSWER_TIMEOUT_S = 1.0
+# VMs that are asked at the same time, so that one that is silent or cut off
+# from the store delays no change.
+SOURCES = 2
+# Longest pause after a call that failed, and between two looks for a VM to ask.
+RETRY_INTERVAL_S = 0.5
+_BITS_PER_BYTE = 8
+_BITS_PER_MEGABIT = 1_000_000
+
+_LIMITS = CallLimits(WAIT_S + ANSWER_TIMEOUT_S, backoff_s=0)
+
+
+class ItemReplication:
+    """
+    Obtains changes from other VMs where the store's own answers are slow.
+
+    The watcher follows the store all the while: a change counts from whichever
+    source brings it first.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        link_mbps: float | None,
+        watcher: Watcher,
+        slots: HolderSlots,
+        peers: Peers,
+        rng: random.Random,
+        count: Callable[[int], object],
+        log: Any,
+    ) -> None:
+        """
+        Answer the calls of other VMs.
+
+        :param link_mbps: bandwidth of the VM's link, None if unknown.
+        :param slots: names the VMs to ask.
+        :param count: called with the number of changes that another VM
+            brought first.
+        """
+        self._vm = vm
+        self._link_mbps = link_mbps
+        self._watcher = watcher
+        self._slots = slots
+        self._peers = peers
+        self._rng = rng
+        self._count = count
+        self._log = log
+        self._mirror = ItemMirror()
+        self._changed = asyncio.Event()
+        peers.register(CHANGES_PATH, self._handle)
+
+    @property
+    def needed(self) -> bool:
+        """Whether a whole value takes long to receive from the store."""
+        if self._watcher.transfer_s > SLOW_TRANSFER_S:
+            return True
+        if not self._link_mbps:
+            return False
+        bits = self._mirror.largest_bytes * _BITS_PER_BYTE
+        return bits / (self._link_mbps * _BITS_PER_MEGABIT) > SLOW_TRANSFER_S
+
+    def on_listing(self, changes: Changes) -> None:
+        """Record a complete listing of the store."""
+        self._mirror.apply_listing(changes)
+        self._notify()
+
+    def on_changes(self, changes: Changes) -> None:
+        """Record changes of the store."""
+        self._mirror.apply(changes)
+        self._notify()
+
+    async def run(self, apply: Callable[[Changes], None]) -> None:
+        """Pass changes that other VMs know to a function, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(SOURCES):
+                group.create_task(self._follow(number, apply))
+
+    async def _follow(
+        self, number: int, apply: Callable[[Changes], None]
+    ) -> None:
+        """Ask one VM after the other for changes while it is needed."""
+        failures = 0
+        while True:
+            address = self._address(number + failures)
+            if address and self.needed:
+                answered = await self._fetch(address, apply)
+                failures = 0 if answered else failures + SOURCES
+            if not address or not self.needed or failures:
+                pause_s = self._rng.uniform(0, RETRY_INTERVAL_S)
+                await asyncio.sleep(pause_s)
+
+    def _address(self, number: int) -> str:
+        """Return the address of a VM to ask, empty if none is known."""
+        addresses = self._slots.addresses_for(self._vm)
+        return addresses[number % len(addresses)] if addresses else ''
+
+    async def _fetch(
+        self, address: str, apply: Callable[[Changes], None]
+    ) -> bool:
+        """Apply the changes that a VM knows; return whether it answered."""
+        mirror = self._mirror
+        call = [mirror.revision, mirror.digests, WAIT_S]
+        try:
+            answer = await self._peers.call(
+                address, CHANGES_PATH, call, _LIMITS
+            )
+        except PeerSilentError:
+            return False
+        if answer.status != OK_STATUS:
+            return False
+        try:
+            changes = mirror.read(read_answer(answer.body))
+        except DECODE_ERRORS as error:
+            self._log.warning(
+                'changes_unreadable', peer=address, reason=repr(error)
+            )
+            return False
+        if changes.items and changes.revision > mirror.revision:
+            self._log.info(
+                'changes_passed_on',
+                peer=address,
+                items=len(changes.items),
+                revision=changes.revision,
+                bytes=answer.received_bytes,
+            )
+            self._count(len(changes.items))
+            self.on_changes(changes)
+            apply(changes)
+            self._watcher.advance(changes.revision)
+        return True
+
+    async def _handle(self, content: Any) -> Any:
+        """Answer another VM once there is a change that it doesn't know."""
+        request = read_request(content)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(request.wait_s):
+                while not self._mirror.has_changes(request):
+                    await self._changed.wait()
+        return encode_answer(self._mirror.answer(request))
+
+    def _notify(self) -> None:
+        """Continue the calls that wait for a change."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+__all__ = ('ItemReplication',)
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -84,6 +84,12 @@
             ('purpose', 'direction'),
             registry=self.registry,
         )
+        self.passed_on_changes = prom.Counter(
+            'fuchsiafork_gateway_passed_on_changes',
+            'Changes of the configuration and of orders that another VM '
+            'brought before the store.',
+            registry=self.registry,
+        )
         self.data_age = prom.Gauge(
             'fuchsiafork_gateway_age_seconds',
             'Time since contact about the configuration, the registry of '
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -172,15 +172,27 @@
             self._apply_configuration, self._log
         )
 
-        def apply_operator_changes(changes: Changes) -> None:
+        def apply_operator_items(changes: Changes) -> None:
             configuration_feed.apply_changes(changes)
             self._shared.rollouts.apply_orders(changes)
+
+        def on_operator_listing(changes: Changes) -> None:
+            self._components.operator_items.on_listing(changes)
+            apply_operator_items(changes)
+            self._shared.prepaid_tokens.notify_store_answered()
+
+        def on_operator_changes(changes: Changes) -> None:
+            self._components.operator_items.on_changes(changes)
+            apply_operator_items(changes)
             self._shared.prepaid_tokens.notify_store_answered()
 
         components, shared = self._components, self._shared
         coroutines: dict[str, Task] = {
             'configuration': lambda: components.configuration_watcher.run(
-                apply_operator_changes, apply_operator_changes
+                on_operator_listing, on_operator_changes
+            ),
+            'replication': lambda: components.operator_items.run(
+                apply_operator_items
             ),
             'rollouts': shared.rollouts.run,
             'targets': lambda: components.target_watcher.run(
--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -37,6 +37,7 @@
     :ivar last_contact_at: time of the last answer, seconds.
     :ivar wait_s: seconds for which the next calls wait for a change. A call
         whose answer is lost is repeated only after that.
+    :ivar transfer_s: seconds for which the last items were received.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.connected = False
         self.connection_changed_at = clock.now()
         self.last_contact_at = clock.now()
+        self.transfer_s = 0.0
         self._prefix = prefix
         self._store = store
         self._clock = clock
@@ -74,6 +76,22 @@
         self._newest_item = 0
         # Calls in a row that failed.
         self._failures = 0
+        self._listed = False
+        self._call_limit = asyncio.timeout(None)
+        self._calling = False
+
+    def advance(self, revision: int) -> None:
+        """
+        Go on from a revision whose changes another source has brought.
+
+        A call that may bring older ones is given up.
+        """
+        if revision <= self._revision:
+            return
+        self._revision = revision
+        self._listed = True
+        if self._calling:
+            self._call_limit.reschedule(asyncio.get_running_loop().time())
 
     async def run(
         self,
@@ -81,23 +99,38 @@
         on_changes: Callable[[Changes], None],
     ) -> None:
         """Pass each listing and each later batch of changes to a callback."""
-        listed = False
         while True:
+            listed = self._listed
             try:
-                changes = await self._fetch(listed=listed)
+                changes = await self._make_call(listed=listed)
             except HistoryGoneError:
-                listed = False
+                self._listed = False
                 self._log.info('history_gone', prefix=self._prefix)
             except StoreUnavailableError as error:
                 self._set_connected(connected=False, reason=str(error))
-                listed = listed and not self._newest_only
+                self._listed = listed and not self._newest_only
                 await asyncio.sleep(self._retry_delay_s())
             else:
+                if changes is None:
+                    continue
                 self._set_connected(connected=True)
                 self._log_slow_transfer(changes, listed=listed)
                 self._apply(on_changes if listed else on_listing, changes)
-                listed = not (self._newest_only and self._falls_behind(changes))
-                await asyncio.sleep(self._pause_s(changes, listed=listed))
+                self._listed = not (
+                    self._newest_only and self._falls_behind(changes)
+                )
+                await asyncio.sleep(self._pause_s(changes))
+
+    async def _make_call(self, *, listed: bool) -> Changes | None:
+        """Return the answer of the next call, None if it was given up."""
+        self._calling = True
+        try:
+            async with asyncio.timeout(None) as self._call_limit:
+                return await self._fetch(listed=listed)
+        except TimeoutError:
+            return None
+        finally:
+            self._calling = False
 
     def _apply(
         self, callback: Callable[[Changes], None], changes: Changes
@@ -127,6 +160,8 @@
             changes = await self._store.list_items(self._prefix)
         self._failures = 0
         self._revision = changes.revision
+        if changes.items:
+            self.transfer_s = changes.transfer_s
         self.last_contact_at = self._clock.now()
         return changes
 
@@ -136,9 +171,9 @@
         self._failures = min(self._failures + 1, MAX_DOUBLINGS)
         return self._rng.uniform(MIN_RETRY_DELAY_S, longest)
 
-    def _pause_s(self, changes: Changes, *, listed: bool) -> float:
+    def _pause_s(self, changes: Changes) -> float:
         """Return the seconds until the next call."""
-        if not listed:
+        if not self._listed:
             return RELIST_PAUSE_S
         return self._batch_interval_s if changes.items else 0.0
 
