--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -123,9 +123,10 @@
 
     async def _make_call(self, *, listed: bool) -> Changes | None:
         """Return the answer of the next call, None if it was given up."""
+        self._call_limit = asyncio.timeout(None)
         self._calling = True
         try:
-            async with asyncio.timeout(None) as self._call_limit:
+            async with self._call_limit:
                 return await self._fetch(listed=listed)
         except TimeoutError:
             return None
