Read the era of the store from its answers, and log when it rises

A store that came back from a copy and one that was only away left the same lines. The era is read where answers are read; an answer of an earlier era is not believed, as revisions of two eras can't be compared.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -247,12 +247,17 @@
 def _make_store(dependencies: _Dependencies) -> PlatformStore:
     """Return a store client that counts its calls."""
     calls = dependencies.metrics.store_calls
-    return PlatformStore(
+    store = PlatformStore(
         dependencies.settings.store.address,
         dependencies.pool,
         lambda outcome: calls.labels(outcome).inc(),
         dependencies.traffic.record,
     )
+    store.on_new_era(
+        lambda era: dependencies.log.warning('store_restored', era=era)
+    )
+    store.on_new_era(dependencies.metrics.store_era.set)
+    return store
 
 
 def _make_watcher(
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -78,6 +78,11 @@
             ('outcome',),
             registry=self.registry,
         )
+        self.store_era = prom.Gauge(
+            'fuchsiafork_gateway_store_era',
+            'Era of the platform store, 0 unless it came back from a copy.',
+            registry=self.registry,
+        )
         self.control_bytes = prom.Counter(
             'fuchsiafork_gateway_control_bytes',
             'Bytes of calls to the store and to other VMs, by purpose.',
--- a/fuchsiafork/platform/names.py
+++ b/fuchsiafork/platform/names.py
@@ -38,6 +38,9 @@
     'kv-fetch',
 ))
 
+# Rises with each return of the platform's store from a copy.
+STORE_ERA = 'store-era'
+
 READY_PATH = '/api/readiness'
 
 # Keys of the platform's store.
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -9,6 +9,7 @@
 
 from fuchsiafork.kernel.decoding import DECODE_ERRORS
 from fuchsiafork.kernel.errors import StoreUnavailableError
+from fuchsiafork.platform import names
 from fuchsiafork.transport.client_connection import (
     BrokenAnswerError,
     ConnectError,
@@ -32,6 +33,7 @@
 _GONE = 410
 _NOT_EXECUTED_STATUSES = frozenset((400, 403, 404, 429, 503))
 _MS_PER_S = 1000
+_MAX_ERA_DIGITS = 18
 
 
 class HistoryGoneError(Exception):
@@ -88,7 +90,13 @@
 
 
 class PlatformStore:
-    """Store client on pooled connections, one call at a time on each."""
+    """
+    Store client on pooled connections, one call at a time on each.
+
+    :ivar era: number of the store's returns from a copy, as its newest answer
+        names it; None before the first answer that does. Revisions of
+        different eras can't be compared.
+    """
 
     def __init__(
         self,
@@ -106,10 +114,16 @@
             and the bytes sent and received.
         """
         self.address = address
+        self.era: int | None = None
+        self._era_listeners: list[Callable[[int], None]] = []
         self._pool = pool
         self._count = count
         self._count_bytes = count_bytes
 
+    def on_new_era(self, listener: Callable[[int], None]) -> None:
+        """Call a function with the new era after each return of the store."""
+        self._era_listeners.append(listener)
+
     async def read(self, key: str) -> Item:
         """
         Read one item.
@@ -288,10 +302,31 @@
         except BrokenAnswerError as error:
             self._count('unknown')
             raise StoreOutcomeUnknownError(f'{path}: {error}') from None
+        self._check_era(answer)
         self._count('answered')
         self._count_bytes(key, answer.sent_bytes, answer.received_bytes)
         return answer
 
+    def _check_era(self, answer: JsonAnswer) -> None:
+        """
+        Record the era of an answer; some stores name none.
+
+        :raises StoreOutcomeUnknownError: if it is of an earlier era.
+        """
+        value = answer.headers.get(names.STORE_ERA, '')
+        if not value.isdecimal() or len(value) > _MAX_ERA_DIGITS:
+            return
+        era = int(value)
+        if self.era is not None and era < self.era:
+            self._count('unknown')
+            raise StoreOutcomeUnknownError(
+                f'the answer is of era {era} in place of {self.era}'
+            )
+        previous, self.era = self.era, era
+        if previous is not None and previous != era:
+            for listener in self._era_listeners:
+                listener(era)
+
 
 def _check_status(answer: JsonAnswer, status: int) -> None:
     """
--- a/fuchsiafork/transport/json_call.py
+++ b/fuchsiafork/transport/json_call.py
@@ -46,6 +46,7 @@
     :ivar sent_bytes: size of the call's body.
     :ivar received_bytes: size of the answer's body.
     :ivar transfer_s: seconds from the head of the answer to its end.
+    :ivar headers: values by name in lower case.
     """
 
     status: int
@@ -53,6 +54,7 @@
     sent_bytes: int = 0
     received_bytes: int = 0
     transfer_s: float = 0.0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def ignore_bytes(purpose: str, sent: int, received: int) -> None:
@@ -122,6 +124,10 @@
         len(payload),
         len(content),
         loop.time() - head_at,
+        {
+            name.decode('latin-1'): value.decode('latin-1')
+            for name, value in head.headers
+        },
     )
 
 
