--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -50,11 +50,23 @@
     expires_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """All that a store held at one moment."""
+
+    revision: int
+    compact_revision: int
+    history: tuple[StoredItem, ...]
+    items: dict[str, StoredItem]
+    leases: dict[int, Lease]
+
+
 class StoreContent:
     """
     Items, their change history and leases, without I/O.
 
     :ivar compact_revision: watches can only start at or after this revision.
+    :ivar era: number of returns from a copy.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -64,8 +76,28 @@
         self.compact_revision = self.revision
         self.items: dict[str, StoredItem] = {}
         self.leases: dict[int, Lease] = {}
+        self.era = 1
         self._clock = clock
 
+    def copy(self) -> StoreCopy:
+        """Return a copy that the store can come back from."""
+        return StoreCopy(
+            self.revision,
+            self.compact_revision,
+            tuple(self.history),
+            dict(self.items),
+            dict(self.leases),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; all changes since are lost."""
+        self.era += 1
+        self.revision = copy.revision
+        self.compact_revision = copy.compact_revision
+        self.history = list(copy.history)
+        self.items = dict(copy.items)
+        self.leases = dict(copy.leases)
+
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write one item and return the new revision."""
         return self.commit([(key, base64.b64encode(value).decode(), lease)], [])
@@ -184,6 +216,21 @@
         self.content.remove(key)
         self.notify_watchers()
 
+    def restore(self, copy: StoreCopy) -> None:
+        """
+        Come back from a copy.
+
+        What the operator and the targets wrote since is written again.
+        """
+        newest = self.content.items
+        self.content.restore(copy)
+        for key, item in newest.items():
+            known = self.content.items.get(key)
+            if key.startswith(('op/', 'servers/')) and known != item:
+                self.content.commit([(key, item.value or '', 0)], [])
+        self.server.break_connections()
+        self.notify_watchers()
+
     def notify_watchers(self) -> None:
         """Make waiting watches check for changes."""
         self._changed.set()
@@ -209,7 +256,10 @@
         if status < 0:
             caller.abort()
             return
-        headers = [('content-type', 'application/json')]
+        headers = [
+            ('content-type', 'application/json'),
+            ('store-era', str(self.content.era)),
+        ]
         content = json.dumps(answer).encode()
         self.watched_bytes[query.get('prefix', '')] += len(content)
         caller.answer(status, headers, content)
@@ -289,12 +339,12 @@
         """Wait for changes under a prefix and return them, none at timeout."""
         self.watches[query['prefix']] += 1
         after = int(query['after'])
-        if after < self.content.compact_revision:
+        if not self._has_history(after):
             return 410, {}
         deadline = self._clock.now() + int(query['waitMs']) / _MS_PER_S
         events = self.content.changes(query['prefix'], after)
         while not events and self._clock.now() < deadline:
-            if after < self.content.compact_revision:
+            if not self._has_history(after):
                 return 410, {}
             left = deadline - self._clock.now()
             await self._wait_for_change(min(left, _EXPIRY_INTERVAL_S))
@@ -305,6 +355,11 @@
             'storeRevision': self.content.revision,
         }
 
+    def _has_history(self, after: int) -> bool:
+        """Return whether all changes after a revision are known."""
+        content = self.content
+        return content.compact_revision <= after <= content.revision
+
     async def _wait_for_change(self, seconds: float) -> None:
         """Wait for a change, at most the given seconds."""
         try:
