Write what a restored store has lost of the ledger again

Client accounts got more tokens than they paid for after the store came back from a copy: 147,000 of 100,000 in the test with whole VMs, exactly what had been settled since the copy was taken. Cause: a write added only what was used since the last confirmed write to one total of all holders; what the copy had lost of the total was free once more. Class: a delta is applied to a base that is taken for the one it was made against.

Each holder's settled tokens now have a place of their own in the record, with the number of the holder's last write. A holder writes its own total, so that a write is right whatever it is based on. The newest part of each holder that a process has read is merged into the record that it reads, also those of holders that ended and of retired ones. After a return grants aren't raised for 1 s, nor before all live holders have written, 5 s at most. A process that ended in an earlier era keeps its whole grant withheld. A write is not confirmed if the era changed on the way.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -168,6 +168,7 @@
         allocator, token_peers, store, clock, rng, log, draws
     )
     token_peers.set_allot(prepaid_tokens.allot)
+    store.on_new_era(prepaid_tokens.start_era)
     election = HolderElection(
         slots,
         Occupant(settings.vm, settings.peer_address),
--- a/fuchsiafork/gateway/prepaid_tokens.py
+++ b/fuchsiafork/gateway/prepaid_tokens.py
@@ -22,6 +22,7 @@
     StoreOutcomeUnknownError,
 )
 from fuchsiafork.prepaid import (
+    Ledger,
     Reservation,
     RetiredHolder,
     TokenAllocator,
@@ -215,6 +216,11 @@
         """Close a reservation and charge the actual cost of the request."""
         self._allocator.settle(reservation, tokens)
 
+    def start_era(self, era: int) -> None:
+        """Write soon what a store that came back from a copy has lost."""
+        self._allocator.start_era(era)
+        self._spread_write()
+
     async def run(self) -> None:
         """Write the ledger periodically and on demand until cancelled."""
         while True:
@@ -395,14 +401,27 @@
         """Return whether this VM has anything to change in the record."""
         if self._allocator.holding:
             return True
-        ledger = decode_ledger(item.value or b'')
-        self._allocator.apply_record(ledger, item.revision)
+        self._apply_record(item)
         return self._allocator.has_ledger_entries
 
+    def _apply_record(self, item: Item) -> Ledger:
+        """Return the stored record with what this process knows of it."""
+        ledger = decode_ledger(item.value or b'')
+        self._allocator.start_era(self._store.era or 0)
+        lost = self._allocator.apply_record(ledger, item.revision)
+        if lost:
+            self._log.warning(
+                'ledger_parts_restored',
+                revision=item.revision,
+                era=self._store.era,
+                holders=','.join(lost),
+            )
+        return ledger
+
     async def _compare_and_swap(self, item: Item) -> Item | None:
         """Write once; return the current record if the write conflicted."""
-        ledger = decode_ledger(item.value or b'')
-        self._allocator.apply_record(ledger, item.revision)
+        era = self._store.era
+        ledger = self._apply_record(item)
         change = self._allocator.plan_write(ledger, item.revision)
         try:
             swap = await self._store.swap(
@@ -415,6 +434,8 @@
         except StoreUnavailableError:
             self._allocator.discard_write(change)
             raise
+        if self._store.era != era:
+            raise StoreOutcomeUnknownError('the store came back from a copy')
         if swap.revision:
             self._allocator.confirm_write(change, ledger)
             self._log_retired(change.retired)
--- a/fuchsiafork/prepaid/__init__.py
+++ b/fuchsiafork/prepaid/__init__.py
@@ -13,9 +13,8 @@
     AccountEntry,
     Ledger,
     RetiredHolder,
-    decode_ledger,
-    encode_ledger,
 )
+from fuchsiafork.prepaid.ledger_codec import decode_ledger, encode_ledger
 
 __all__ = (
     'AccountEntry',
--- a/fuchsiafork/prepaid/allocator.py
+++ b/fuchsiafork/prepaid/allocator.py
@@ -26,6 +26,12 @@
 FLEET_TIME_WAIT_S = 1.5
 # Time constant of the moving average of the demand.
 DEMAND_TIME_CONSTANT_S = 8.0
+# Times after a return of the store from a copy in which no grant is raised.
+# All live holders write what they know within the first one, unless they are
+# cut off; a holder that doesn't write until the second one has ended or is cut
+# off, and what others have read of it counts.
+MIN_RETURN_WAIT_S = 1.0
+MAX_RETURN_WAIT_S = 5.0
 # A VM that requests tokens also gets the available tokens divided by this, so
 # that it doesn't have to ask again for each request.
 EXTRA_TRANSFER_DIVISOR = 4
@@ -39,6 +45,7 @@
     :ivar share: share in the last record known to be stored.
     :ivar used: settled tokens that are not in that record; also reduced by
         tokens received from other VMs, and raised by tokens sent to them.
+    :ivar settled: settled tokens of this process in that record.
     :ivar reserved: upper bound of the cost of the open requests.
     :ivar demand: moving average of the spending, tokens per second.
     :ivar spent_since_update: tokens spent since the last demand update.
@@ -49,6 +56,7 @@
 
     share: Share = dataclasses.field(default_factory=Share)
     used: int = 0
+    settled: int = 0
     reserved: int = 0
     demand: float = 0.0
     spent_since_update: float = 0.0
@@ -88,6 +96,8 @@
         self._holding = True
         self._demand_history_s = 0.0
         self._last_ledger: Ledger | None = None
+        self._era = 0
+        self._returned_at = -math.inf
         self._prepaid: dict[str, int] = {}
 
     @property
@@ -310,14 +320,31 @@
             state.demand = max(0.0, state.demand)
             state.spent_since_update = 0
 
-    def apply_record(self, ledger: Ledger, revision: int) -> None:
+    def start_era(self, era: int) -> None:
+        """
+        Record the era of the store.
+
+        :param era: number of its returns from a copy, each of which gives
+            revisions out again.
+        """
+        if self._last_ledger is not None and era != self._era:
+            self._returned_at = self._clock.now()
+        self._era = era
+
+    def apply_record(self, ledger: Ledger, revision: int) -> list[str]:
         """
         Process a ledger record that was read from the store.
 
-        The record shows which of the writes with an unknown outcome took
-        effect. Those based on an older revision can't take effect any more.
+        The record gets the newer parts that this process knows. It shows
+        which of the writes with an unknown outcome took effect. Those based
+        on an older revision of the same era can't take effect any more.
+
+        :return: holders whose parts the record had lost.
         """
-        self._last_ledger = ledger
+        lost = (
+            [] if self._last_ledger is None else ledger.merge(self._last_ledger)
+        )
+        self._last_ledger = ledger.copy()
         own_holder = ledger.holders.get(self._holder)
         applied = own_holder.write_number if own_holder else 0
         for change in self._unconfirmed:
@@ -327,8 +354,9 @@
             change
             for change in self._unconfirmed
             if change.write_number > applied
-            and change.base_revision >= revision
+            and (change.era != self._era or change.base_revision >= revision)
         ]
+        return lost
 
     def plan_write(self, ledger: Ledger, revision: int) -> LedgerChange:
         """
@@ -347,15 +375,19 @@
             self._write_number,
             written_at,
             self._address,
+            self._era,
         )
         live_holders = ledger.live_holders(written_at.wall)
+        may_grow = self._parts_are_complete(ledger, live_holders)
         accounts = {
             account: self._plan_account(
-                ledger.entry(account), account, live_holders
+                ledger.entry(account), account, live_holders, may_grow=may_grow
             )
             for account in self._prepaid
         }
-        change = LedgerChange(self._write_number, revision, accounts, retired)
+        change = LedgerChange(
+            self._write_number, revision, self._era, accounts, retired
+        )
         self._unconfirmed.append(change)
         return change
 
@@ -394,6 +426,7 @@
         return ledger.retire_predecessors(
             self._holder,
             started_at,
+            era=self._era,
             defer_uncertain=young and not self._fleet_time.synchronized,
         )
 
@@ -403,18 +436,34 @@
             state = self._states[account]
             state.share = account_change.share
             state.used -= account_change.used
+            state.settled += account_change.used
+
+    def _parts_are_complete(
+        self, ledger: Ledger, live_holders: list[str]
+    ) -> bool:
+        """Return whether the holders have written since the store returned."""
+        now = self._clock.now()
+        if now - self._returned_at < MIN_RETURN_WAIT_S:
+            return False
+        _, started_at = self._started_at
+        waited_s = now - max(self._returned_at, started_at)
+        return waited_s >= MAX_RETURN_WAIT_S or all(
+            ledger.holders[name].era == self._era for name in live_holders
+        )
 
     def _plan_account(
         self,
         entry: AccountEntry,
         account: str,
         live_holders: list[str],
+        *,
+        may_grow: bool,
     ) -> AccountChange:
         """Settle the used tokens of one account and size its new grant."""
         state = self._states.setdefault(account, _AccountState())
-        entry.spent += state.used
         demand = math.ceil(state.demand) if self.holding else 0
-        share = Share(state.share.grant - state.used, demand=demand)
+        unused = self._unused_grant(account, state)
+        share = Share(unused, demand=demand, settled=state.settled + state.used)
         entry.shares[self._holder] = share
         need = TokenNeed(state.reserved, state.shortage)
         state.shortage = 0
@@ -423,8 +472,24 @@
                 entry, self._prepaid[account], self._holder, live_holders
             )
             share.grant = sizer.grant(need)
+            if not may_grow:
+                share.grant = min(share.grant, unused)
             share.burst = sizer.burst(need)
             share.rate = sizer.rate()
         else:
             share.grant = share.burst = need.reserved
         return AccountChange(state.used, dataclasses.replace(share))
+
+    def _unused_grant(self, account: str, state: _AccountState) -> int:
+        """
+        Return the tokens of the grant that aren't settled.
+
+        A write of an earlier era whose outcome is unknown may have freed some
+        that other VMs were granted since.
+        """
+        grants = [state.share.grant]
+        for change in self._unconfirmed:
+            if change.era != self._era and account in change.accounts:
+                planned = change.accounts[account]
+                grants.append(planned.share.grant + planned.used)
+        return min(grants) - state.used
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -5,15 +5,16 @@
 ``spent`` plus the sum of the grants never exceeds the prepaid tokens at the
 time of a grant. Other holders never revoke the grant of a live holder, so
 neither a pause nor a delayed write of a holder can cause overspending.
+
+Only a holder, or a later process of its VM, changes the holder's part of the
+record, and counts each change. Two copies of the record are merged by the
+newest part of each holder: a store that came back from a copy gets back what
+any VM has read since.
 """
 
 import dataclasses
-import json
 import math
-from typing import Any
 
-from fuchsiafork.kernel.decoding import DECODE_ERRORS
-from fuchsiafork.kernel.errors import StoreFormatError
 from fuchsiafork.prepaid.fleet_time import MAX_CLOCK_DIFFERENCE_S
 
 # A holder that hasn't written for this long is ignored when grants are sized,
@@ -45,12 +46,15 @@
     :ivar burst: part of the grant that is spendable right after its write.
     :ivar rate: additional tokens per second that become spendable.
     :ivar demand: recent average spending, tokens per second.
+    :ivar settled: tokens that the holder has spent, less those that it
+        received from other VMs.
     """
 
     grant: int = 0
     burst: int = 0
     rate: int = 0
     demand: int = 0
+    settled: int = 0
 
     def spendable(self, elapsed_s: float) -> int:
         """Return the tokens that may be spent within a time after a write."""
@@ -65,13 +69,26 @@
     """
     One account of the ledger.
 
-    :ivar spent: settled tokens of all holders.
+    :ivar base: settled tokens that are in no holder's share.
     :ivar shares: share of each holder, by holder name.
     """
 
-    spent: int = 0
+    base: int = 0
     shares: dict[str, Share] = dataclasses.field(default_factory=dict)
 
+    @property
+    def spent(self) -> int:
+        """Settled tokens of all holders."""
+        return self.base + sum(share.settled for share in self.shares.values())
+
+    def copy(self) -> 'AccountEntry':
+        """Return an independent copy."""
+        shares = {
+            holder: dataclasses.replace(share)
+            for holder, share in self.shares.items()
+        }
+        return AccountEntry(self.base, shares)
+
     def free(self, prepaid: int) -> int:
         """Return the tokens that are neither spent nor granted."""
         granted = sum(share.grant for share in self.shares.values())
@@ -106,11 +123,13 @@
         whose response was lost took effect.
     :ivar written_at: clock readings when it sent that write.
     :ivar address: IP:PORT at which other VMs request tokens from it.
+    :ivar era: era of the store when it sent that write.
     """
 
     write_number: int
     written_at: ClockReading
     address: str
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,10 +151,68 @@
 
 @dataclasses.dataclass(slots=True)
 class Ledger:
-    """The whole ledger record."""
+    """
+    The whole ledger record.
+
+    :ivar retired: number of the last write of each removed holder.
+    """
 
     accounts: dict[str, AccountEntry] = dataclasses.field(default_factory=dict)
     holders: dict[str, Holder] = dataclasses.field(default_factory=dict)
+    retired: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def copy(self) -> 'Ledger':
+        """Return an independent copy."""
+        return Ledger(
+            {name: entry.copy() for name, entry in self.accounts.items()},
+            {
+                name: dataclasses.replace(holder)
+                for name, holder in self.holders.items()
+            },
+            dict(self.retired),
+        )
+
+    def merge(self, known: 'Ledger') -> list[str]:
+        """
+        Adopt the parts of another copy that are newer.
+
+        :return: holders whose parts were adopted.
+        """
+        newer = [
+            name
+            for name in (*known.holders, *known.retired)
+            if known.part_version(name) > self.part_version(name)
+        ]
+        for name in newer:
+            self._adopt_part(name, known)
+        for account, entry in known.accounts.items():
+            own = self.entry(account)
+            own.base = max(own.base, entry.base)
+        return newer
+
+    def part_version(self, holder: str) -> tuple[int, bool]:
+        """Return what is higher for the newer of two parts of a holder."""
+        if holder in self.retired:
+            return self.retired[holder], True
+        known = self.holders.get(holder)
+        return (known.write_number if known else 0), False
+
+    def _adopt_part(self, holder: str, known: 'Ledger') -> None:
+        """Replace a holder's part by the one of another copy."""
+        self.holders.pop(holder, None)
+        self.retired.pop(holder, None)
+        if holder in known.retired:
+            self.retired[holder] = known.retired[holder]
+        else:
+            self.holders[holder] = dataclasses.replace(known.holders[holder])
+        for account in {*self.accounts, *known.accounts}:
+            shares = self.entry(account).shares
+            shares.pop(holder, None)
+            share = known.accounts.get(account, AccountEntry()).shares.get(
+                holder
+            )
+            if share is not None:
+                shares[holder] = dataclasses.replace(share)
 
     def live_holders(self, wall: float) -> list[str]:
         """Return the holders with a recent write."""
@@ -163,14 +240,18 @@
         successor: str,
         started_at: ClockReading,
         *,
+        era: int = 0,
         defer_uncertain: bool = False,
     ) -> list[RetiredHolder]:
         """
         Remove the earlier processes of the successor's VM.
 
         Tokens that they can't have spent between their last write and the
-        successor's start become free. The rest stays withheld.
+        successor's start become free. The rest stays withheld, and all if the
+        last write may be lost.
 
+        :param era: era of the store; later writes of an earlier era may be
+            lost.
         :param defer_uncertain: keep predecessors for which the wall and
             monotonic clocks disagree on the elapsed time.
         :return: the removed predecessors.
@@ -180,8 +261,11 @@
             written_at = self.holders[name].written_at
             if defer_uncertain and not _clocks_agree(written_at, started_at):
                 continue
-            self.holders.pop(name)
+            holder = self.holders.pop(name)
+            self.retired[name] = holder.write_number
             elapsed = _max_elapsed_s(written_at, started_at)
+            if holder.era != era:
+                elapsed = None
             retired.append(self._reclaim_grants(name, elapsed))
         return retired
 
@@ -198,106 +282,12 @@
             granted = share.grant
             if elapsed_s is not None:
                 share.grant = share.spendable(elapsed_s)
+            share.burst = share.rate = share.demand = 0
             freed += granted - share.grant
             withheld[account] = share.grant
         return RetiredHolder(holder, elapsed_s, freed, withheld)
 
 
-def encode_ledger(ledger: Ledger) -> bytes:
-    """
-    Serialize a ledger for the store.
-
-    Shares refer to holders by index to keep the record small, since there is
-    one share per holder and account.
-    """
-    names = _share_holders(ledger)
-    indexes = {name: index for index, name in enumerate(names)}
-    accounts = {
-        name: [entry.spent, _encode_shares(entry.shares, indexes)]
-        for name, entry in ledger.accounts.items()
-    }
-    holders = {
-        name: [
-            holder.write_number,
-            round(holder.written_at.wall, 2),
-            round(holder.written_at.since_boot, 2),
-            holder.address,
-            round(holder.written_at.fleet_time or 0, 2),
-        ]
-        for name, holder in ledger.holders.items()
-    }
-    stored = {'names': names, 'accounts': accounts, 'holders': holders}
-    return json.dumps(stored, separators=(',', ':')).encode()
-
-
-def decode_ledger(value: bytes) -> Ledger:
-    """
-    Parse a stored ledger; an empty value is an empty ledger.
-
-    :raises StoreFormatError: if the value is malformed.
-    """
-    if not value:
-        return Ledger()
-    try:
-        return _decode_record(json.loads(value))
-    except DECODE_ERRORS as error:
-        raise StoreFormatError(f'ledger: {error!r}') from None
-
-
-def _decode_record(stored: Any) -> Ledger:
-    """Build the ledger from its JSON value."""
-    names, holders = stored['names'], stored['holders']
-    accounts = {
-        name: AccountEntry(int(spent), _decode_shares(shares, names))
-        for name, (spent, shares) in stored['accounts'].items()
-    }
-    decoded_holders = {
-        name: Holder(
-            int(write_number),
-            ClockReading(
-                float(wall), float(since_boot), float(fleet_time) or None
-            ),
-            str(address),
-        )
-        for name, (
-            write_number,
-            wall,
-            since_boot,
-            address,
-            fleet_time,
-        ) in holders.items()
-    }
-    return Ledger(accounts, decoded_holders)
-
-
-def _share_holders(ledger: Ledger) -> list[str]:
-    """Return the distinct holders of all shares."""
-    names: dict[str, None] = {}
-    for entry in ledger.accounts.values():
-        names.update(dict.fromkeys(entry.shares))
-    return list(names)
-
-
-def _encode_shares(
-    shares: dict[str, Share],
-    indexes: dict[str, int],
-) -> list[list[int]]:
-    """Return shares as JSON rows, without empty ones."""
-    return [
-        [indexes[holder], share.grant, share.burst, share.rate, share.demand]
-        for holder, share in shares.items()
-        if share.grant or share.demand
-    ]
-
-
-def _decode_shares(stored: Any, names: list[str]) -> dict[str, Share]:
-    """Build shares from their JSON rows."""
-    return {
-        names[index]: Share(*(int(count) for count in counts))
-        for index, *counts in stored
-    }
-
-
 def _max_elapsed_s(
     written_at: ClockReading, started_at: ClockReading
 ) -> float | None:
--- a/tests/test_gateway_prepaid_tokens.py
+++ b/tests/test_gateway_prepaid_tokens.py
@@ -76,6 +76,7 @@
     """Store of one record that may be unavailable or return conflicts."""
 
     def __init__(self) -> None:
+        self.era = None
         self.unavailable = False
         self.conflicts = 0
         self.item = Item(LEDGER_KEY, 1, None)
