Allow connections that follow the store 1 s to open

Class: a time limit shorter than the queue of a full link, where no request waits for the call.

test_route_is_served_though_connections_open_slowly failed before (404 two seconds after a route was added, with connections that take 0.45 s).

--- a/fuchsiafork/gateway/item_replication.py
+++ b/fuchsiafork/gateway/item_replication.py
@@ -15,7 +15,7 @@
 )
 from fuchsiafork.gateway.watcher import SLOW_TRANSFER_S, Watcher
 from fuchsiafork.kernel.decoding import DECODE_ERRORS
-from fuchsiafork.platform.store import Changes
+from fuchsiafork.platform.store import FOLLOW_CONNECT_TIMEOUT_S, Changes
 from fuchsiafork.prepaid import HolderSlots
 from fuchsiafork.replication import encode_answer, read_answer, read_request
 
@@ -32,7 +32,11 @@
 _BITS_PER_BYTE = 8
 _BITS_PER_MEGABIT = 1_000_000
 
-_LIMITS = CallLimits(WAIT_S + ANSWER_TIMEOUT_S, backoff_s=0)
+_LIMITS = CallLimits(
+    WAIT_S + ANSWER_TIMEOUT_S,
+    backoff_s=0,
+    connect_timeout_s=FOLLOW_CONNECT_TIMEOUT_S,
+)
 
 
 class ItemReplication:
--- a/fuchsiafork/gateway/peers.py
+++ b/fuchsiafork/gateway/peers.py
@@ -20,7 +20,7 @@
     call_json,
     ignore_bytes,
 )
-from fuchsiafork.transport.pool import ConnectionPool
+from fuchsiafork.transport.pool import CONNECT_TIMEOUT_S, ConnectionPool
 
 CLOCK_PATH = '/clock'
 # A VM that takes longer to answer is skipped: a longer wait isn't worthwhile.
@@ -45,10 +45,12 @@
 
     :ivar timeout_s: seconds until the answer.
     :ivar backoff_s: seconds for which a VM that didn't answer is not asked.
+    :ivar connect_timeout_s: seconds in which a new connection must open.
     """
 
     timeout_s: float = CALL_TIMEOUT_S
     backoff_s: float = BACKOFF_S
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
 
 
 DEFAULT_LIMITS = CallLimits()
@@ -125,7 +127,7 @@
         """
         if self.is_silent(address):
             raise PeerSilentError(f'{address} did not answer', sent=False)
-        call = JsonCall('POST', path, body)
+        call = JsonCall('POST', path, body, limits.connect_timeout_s)
         try:
             answer = await call_json(
                 self._pool, address, call, limits.timeout_s
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -21,9 +21,13 @@
     call_json,
     ignore_bytes,
 )
-from fuchsiafork.transport.pool import ConnectionPool
+from fuchsiafork.transport.pool import CONNECT_TIMEOUT_S, ConnectionPool
 
 CALL_TIMEOUT_S = 2.0
+# Time in which the connection of a watch or a listing must open. A short one
+# would never open while packets wait on a full link, and the VM would follow
+# nothing; no request waits for these calls.
+FOLLOW_CONNECT_TIMEOUT_S = 1.0
 # Added to a watch's wait time before the call times out.
 WATCH_MARGIN_S = 1.5
 
@@ -184,6 +188,7 @@
             f'/api/kv-watch?{query}',
             prefix,
             timeout_s=wait_s + WATCH_MARGIN_S,
+            connect_timeout_s=FOLLOW_CONNECT_TIMEOUT_S,
         )
         if answer.status == _GONE:
             raise HistoryGoneError(prefix)
@@ -276,7 +281,12 @@
         if after:
             fields['after'] = after
         query = urllib.parse.urlencode(fields)
-        answer = await self._call('GET', f'/api/kv-range?{query}', prefix)
+        answer = await self._call(
+            'GET',
+            f'/api/kv-range?{query}',
+            prefix,
+            connect_timeout_s=FOLLOW_CONNECT_TIMEOUT_S,
+        )
         _check_status(answer, _OK)
         return answer
 
@@ -287,13 +297,14 @@
         key: str,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> JsonAnswer:
         """Call the store, count outcome and bytes and return the answer."""
         try:
             answer = await call_json(
                 self._pool,
                 self.address,
-                JsonCall(method, path, body),
+                JsonCall(method, path, body, connect_timeout_s),
                 timeout_s,
             )
         except ConnectError as error:
--- a/fuchsiafork/transport/json_call.py
+++ b/fuchsiafork/transport/json_call.py
@@ -12,7 +12,11 @@
     BrokenAnswerError,
     ClientConnection,
 )
-from fuchsiafork.transport.pool import ConnectionPool, idle_limit_s
+from fuchsiafork.transport.pool import (
+    CONNECT_TIMEOUT_S,
+    ConnectionPool,
+    idle_limit_s,
+)
 
 # Minimum time that a call has left after each part of its answer: a large
 # answer on a slow link takes longer than a timeout that detects a peer that
@@ -30,11 +34,13 @@
     A request, with a JSON body if any.
 
     :ivar body: value to encode, None for no body.
+    :ivar connect_timeout_s: seconds in which a new connection must open.
     """
 
     method: str
     path: str
     body: Any = None
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,7 +81,11 @@
     :raises ConnectError: if no byte of the call was sent.
     :raises BrokenAnswerError: if no complete answer arrived in time.
     """
-    connection = await pool.acquire(address, require_fresh=False)
+    connection = await pool.acquire(
+        address,
+        require_fresh=False,
+        connect_timeout_s=call.connect_timeout_s,
+    )
     try:
         async with asyncio.timeout(timeout_s) as limit:
             return await _exchange(connection, address, call, limit)
--- a/fuchsiafork/transport/pool.py
+++ b/fuchsiafork/transport/pool.py
@@ -30,13 +30,18 @@
         self._idle: dict[str, list[ClientConnection]] = {}
 
     async def acquire(
-        self, address: str, *, require_fresh: bool
+        self,
+        address: str,
+        *,
+        require_fresh: bool,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> ClientConnection:
         """
         Return a connection to an address.
 
         :param require_fresh: whether it must be new or have answered within
             ``FRESH_S``.
+        :param connect_timeout_s: seconds in which a new one must open.
         :raises ConnectError: if none can be opened.
         """
         idle = self._idle.get(address, [])
@@ -49,7 +54,7 @@
             ):
                 return connection
             connection.close()
-        return await connect(address, CONNECT_TIMEOUT_S)
+        return await connect(address, connect_timeout_s)
 
     async def acquire_for(
         self, address: str, request_id: str, *, require_fresh: bool
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -3,8 +3,15 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest import mock
 
 from fuchsiafork.observability.logs import configure_logs
+from fuchsiafork.transport import pool
+from fuchsiafork.transport.client_connection import (
+    ClientConnection,
+    ConnectError,
+    connect,
+)
 from standins.link_proxies import LinkProxy
 from standins.narrow_link import NarrowLink
 from standins.platform_caller import Call, call_once
@@ -21,12 +28,14 @@
 APPLY_LIMIT_S = 2.0
 # Time in which the store itself brings a change over the narrow link.
 DIRECT_LIMIT_S = 5.0
+# Time for which packets wait on a full link.
+QUEUE_S = 0.45
 OK_STATUS = 200
 NARROW_VM = 'c-3'
 
 
-class TestNarrowLink(unittest.IsolatedAsyncioTestCase):
-    """A VM whose link carries a document slower than they are written."""
+class LateConfigurationCase(unittest.IsolatedAsyncioTestCase):
+    """Two VMs, and one whose link carries a document in two seconds."""
 
     async def asyncSetUp(self) -> None:
         """Start two VMs and one with a narrow link to the store."""
@@ -71,14 +80,20 @@
         added = make_route(prefix, 'safe', 'plain', public=True)
         self.write_change(routes=[*self.document['routes'], added])
 
-    async def status_after(self, seconds: float, prefix: str) -> int:
+    async def status_after(
+        self, seconds: float, prefix: str, vm: str = NARROW_VM
+    ) -> int:
         """Add a route; return the status of a request some time later."""
         self.add_route(prefix)
         await asyncio.sleep(seconds)
         call = Call(f'{prefix}1', request_id=f'r-{prefix.strip("/")}')
-        reply = await call_once(self.site.ports[NARROW_VM], call)
+        reply = await call_once(self.site.ports[vm], call)
         return reply.status
 
+
+class TestNarrowLink(LateConfigurationCase):
+    """Documents that are written faster than a link carries them."""
+
     async def test_route_added_in_a_storm_is_served_in_time(self) -> None:
         """Guards against 404 for a route that was confirmed long before."""
         calls = []
@@ -95,3 +110,26 @@
             link.set_open(is_open=False)
         status = await self.status_after(DIRECT_LIMIT_S, '/added/')
         self.assertEqual(status, OK_STATUS)
+
+
+class TestFullLink(LateConfigurationCase):
+    """A link on which packets wait, so that connections open slowly."""
+
+    async def test_route_is_served_though_connections_open_slowly(self) -> None:
+        """Guards against giving up each connection to the store too soon."""
+
+        async def connect_slowly(
+            address: str, timeout_s: float
+        ) -> ClientConnection:
+            if address != self.other_links[0].address:
+                return await connect(address, timeout_s)
+            await asyncio.sleep(min(timeout_s, QUEUE_S))
+            if timeout_s <= QUEUE_S:
+                raise ConnectError(address, silent=True)
+            return await connect(address, timeout_s)
+
+        with mock.patch.object(pool, 'connect', connect_slowly):
+            self.site.store.server.break_connections()
+            await asyncio.sleep(APPLY_LIMIT_S)
+            status = await self.status_after(APPLY_LIMIT_S, '/added/', 'a-1')
+        self.assertEqual(status, OK_STATUS)
