List the followed items anew when the store comes back from a copy

Cause: revisions are compared across a return. The first answer of a new era, whichever call brings it, now makes all watchers give up their calls and list their items; VMs pass changes on within one era only.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -270,7 +270,7 @@
     batch_interval_s: float = BATCH_INTERVAL_S,
 ) -> Watcher:
     """Return a watcher of the items under a prefix."""
-    return Watcher(
+    watcher = Watcher(
         prefix,
         store,
         dependencies.clock,
@@ -279,6 +279,8 @@
         newest_only=newest_only,
         batch_interval_s=batch_interval_s,
     )
+    store.on_new_era(watcher.start_era)
+    return watcher
 
 
 def make_retry_limits(settings: VmSettings) -> RetryLimits:
--- a/fuchsiafork/gateway/item_mirror.py
+++ b/fuchsiafork/gateway/item_mirror.py
@@ -26,11 +26,13 @@
     The last change of each item, deletions included.
 
     :ivar revision: revision of the store up to which changes are known.
+    :ivar era: era of the store in which revisions count.
     """
 
     def __init__(self) -> None:
         """Start without items."""
         self.revision = 0
+        self.era = 0
         self._changed_at_revision = 0
         self._items: dict[str, Item] = {}
         self._digests: dict[str, str] = {}
@@ -54,16 +56,21 @@
 
     def apply_listing(self, listing: Changes) -> None:
         """Apply a complete listing; items that it lacks were deleted."""
+        if listing.era != self.era:
+            self._start_era(listing.era)
         listed = {item.key for item in listing.items}
         deleted = tuple(
             Item(key, listing.revision, None)
             for key, item in self._items.items()
             if key not in listed and item.value is not None
         )
-        self.apply(Changes((*listing.items, *deleted), listing.revision))
+        items = (*listing.items, *deleted)
+        self.apply(Changes(items, listing.revision, era=listing.era))
 
     def apply(self, changes: Changes) -> None:
         """Apply changes; those older than the known ones have no effect."""
+        if changes.era != self.era:
+            return
         for item in changes.items:
             known = self._items.get(item.key)
             if known is None or known.revision < item.revision:
@@ -73,11 +80,14 @@
     def has_changes(self, request: ChangesRequest) -> bool:
         """Return whether another VM doesn't know the last change."""
         newest = min(self.revision, self._changed_at_revision)
-        return newest > request.after
+        return request.era == self.era and newest > request.after
 
     def answer(self, request: ChangesRequest) -> ChangesAnswer:
         """Return the changes that another VM doesn't know."""
+        if request.era != self.era:
+            return ChangesAnswer(self.era, self.revision, ())
         return ChangesAnswer(
+            self.era,
             self.revision,
             tuple(
                 self._share(item, request.digests.get(item.key, ''))
@@ -94,7 +104,15 @@
         """
         items = (self._restore(change) for change in answer.changes)
         ordered = sorted(items, key=lambda item: item.revision)
-        return Changes(tuple(ordered), answer.revision)
+        return Changes(tuple(ordered), answer.revision, era=answer.era)
+
+    def _start_era(self, era: int) -> None:
+        """Forget the items, as revisions count anew; keep large values."""
+        self.era = era
+        self.revision = 0
+        self._changed_at_revision = 0
+        self._items.clear()
+        self._digests.clear()
 
     def _store(self, item: Item) -> None:
         """Keep the last change of an item."""
--- a/fuchsiafork/gateway/item_replication.py
+++ b/fuchsiafork/gateway/item_replication.py
@@ -128,7 +128,7 @@
     ) -> bool:
         """Apply the changes that a VM knows; return whether it answered."""
         mirror = self._mirror
-        call = [mirror.revision, mirror.digests, WAIT_S]
+        call = [mirror.era, mirror.revision, mirror.digests, WAIT_S]
         try:
             answer = await self._peers.call(
                 address, CHANGES_PATH, call, _LIMITS
@@ -144,7 +144,8 @@
                 'changes_unreadable', peer=address, reason=repr(error)
             )
             return False
-        if changes.items and changes.revision > mirror.revision:
+        is_newer = changes.revision > mirror.revision
+        if changes.items and changes.era == mirror.era and is_newer:
             self._log.info(
                 'changes_passed_on',
                 peer=address,
@@ -155,7 +156,7 @@
             self._count(len(changes.items))
             self.on_changes(changes)
             apply(changes)
-            self._watcher.advance(changes.revision)
+            self._watcher.advance(changes.revision, changes.era)
         return True
 
     async def _handle(self, content: Any) -> Any:
--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -73,25 +73,34 @@
         self._rng = rng
         self._log = log
         self._revision = 0
+        # Era of the store in which the revisions count.
+        self._era = 0
         self._newest_item = 0
         # Calls in a row that failed.
         self._failures = 0
         self._listed = False
         self._call_limit = asyncio.timeout(None)
-        self._calling = False
+        self._caller: asyncio.Task[Any] | None = None
 
-    def advance(self, revision: int) -> None:
+    def advance(self, revision: int, era: int) -> None:
         """
         Go on from a revision whose changes another source has brought.
 
         A call that may bring older ones is given up.
         """
-        if revision <= self._revision:
+        if era != self._era or revision <= self._revision:
             return
         self._revision = revision
         self._listed = True
-        if self._calling:
-            self._call_limit.reschedule(asyncio.get_running_loop().time())
+        self._give_up_call()
+
+    def start_era(self, era: int) -> None:
+        """List all items, as the store gives their revisions out again."""
+        if era == self._era:
+            return
+        self._listed = False
+        if self._caller is not asyncio.current_task():
+            self._give_up_call()
 
     async def run(
         self,
@@ -124,14 +133,19 @@
     async def _make_call(self, *, listed: bool) -> Changes | None:
         """Return the answer of the next call, None if it was given up."""
         self._call_limit = asyncio.timeout(None)
-        self._calling = True
+        self._caller = asyncio.current_task()
         try:
             async with self._call_limit:
                 return await self._fetch(listed=listed)
         except TimeoutError:
             return None
         finally:
-            self._calling = False
+            self._caller = None
+
+    def _give_up_call(self) -> None:
+        """End the call under way, if any, without an answer."""
+        if self._caller is not None:
+            self._call_limit.reschedule(asyncio.get_running_loop().time())
 
     def _apply(
         self, callback: Callable[[Changes], None], changes: Changes
@@ -157,8 +171,11 @@
                 self._revision,
                 wait_s,
             )
+            if changes.era != self._era:
+                raise HistoryGoneError(self._prefix)
         else:
             changes = await self._store.list_items(self._prefix)
+            self._set_era(changes.era)
         self._failures = 0
         self._revision = changes.revision
         if changes.items:
@@ -166,6 +183,13 @@
         self.last_contact_at = self._clock.now()
         return changes
 
+    def _set_era(self, era: int) -> None:
+        """Set the era of the revisions; a new one is a loss of contact."""
+        if era != self._era:
+            self._era = era
+            self._newest_item = 0
+            self.connection_changed_at = self._clock.now()
+
     def _retry_delay_s(self) -> float:
         """Return the seconds until the next call after one that failed."""
         longest = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**self._failures)
--- a/fuchsiafork/platform/store.py
+++ b/fuchsiafork/platform/store.py
@@ -69,11 +69,13 @@
 
     :ivar revision: store revision after which a watch continues.
     :ivar transfer_s: seconds for which the values were received.
+    :ivar era: era of the store in which the revisions count.
     """
 
     items: tuple[Item, ...]
     revision: int
     transfer_s: float = 0.0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,8 +159,10 @@
         revision = 0
         transfer_s = 0.0
         after = ''
+        era = self.era
         while True:
             answer = await self._list_page(prefix, after)
+            era = era if after else self.era
             transfer_s += answer.transfer_s
             page = answer.body
             with _parsing('a page'):
@@ -167,8 +171,10 @@
                 has_more = bool(page['hasMore'])
             _check_keys(page_items, prefix)
             items += page_items
+            if self.era != era:
+                raise StoreOutcomeUnknownError('the pages are of two eras')
             if not has_more or not page_items:
-                return Changes(tuple(items), revision, transfer_s)
+                return Changes(tuple(items), revision, transfer_s, era or 0)
             after = items[-1].key
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
@@ -199,7 +205,7 @@
         _check_keys(items, prefix)
         if revision < after:
             raise StoreOutcomeUnknownError(f'the answer is of {revision}')
-        return Changes(items, revision, answer.transfer_s)
+        return Changes(items, revision, answer.transfer_s, self.era or 0)
 
     async def swap(
         self,
--- a/fuchsiafork/replication/messages.py
+++ b/fuchsiafork/replication/messages.py
@@ -22,11 +22,13 @@
     """
     Asks for the changes that the sender doesn't know.
 
+    :ivar era: era of the store in which revisions count.
     :ivar after: revision of the store up to which it knows them.
     :ivar digests: digests of its large values, by key.
     :ivar wait_s: seconds to wait for a change.
     """
 
+    era: _Revision
     after: _Revision
     digests: dict[_Key, _Digest]
     wait_s: Annotated[float, pydantic.Field(ge=0, le=MAX_WAIT_S)]
@@ -50,9 +52,12 @@
     """
     The changes after the revision asked for.
 
+    :ivar era: era of the store in which revisions count; there are no changes
+        if it isn't the one asked for.
     :ivar revision: revision of the store up to which they are complete.
     """
 
+    era: int
     revision: int
     changes: tuple[SharedChange, ...]
 
@@ -84,6 +89,7 @@
 class _AnswerModel(NamedTuple):
     """An answer as it is sent."""
 
+    era: _Revision
     revision: _Revision
     changes: list[_ChangeModel]
 
@@ -107,7 +113,7 @@
         [change.key, change.revision, _encode_delta(change.delta)]
         for change in answer.changes
     ]
-    return [answer.revision, changes]
+    return [answer.era, answer.revision, changes]
 
 
 def read_answer(content: Any) -> ChangesAnswer:
@@ -118,6 +124,7 @@
     """
     model = _ANSWER.validate_python(content)
     return ChangesAnswer(
+        model.era,
         model.revision,
         tuple(
             SharedChange(
