Keep a target out once it leaves, whatever an older entry says

After the store came back from a copy, a target that had said that it leaves got 15 of 24 requests: its entry in the copy still says that it is ready. Leaving now ends only with another start of the target (the time of its start in the entry), also after its entry was removed.

--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -1,5 +1,6 @@
 """The targets of all services, with the load and failures observed."""
 
+import collections
 import dataclasses
 import math
 
@@ -13,6 +14,9 @@
 # Time in which a target registers again after its entry lapsed during an outage
 # of the store.
 LAPSED_ENTRY_GRACE_S = 1.8
+# Removed targets that were leaving, whose entries may come back with a copy of
+# the store.
+MAX_DEPARTED_TARGETS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +93,10 @@
     def __init__(self) -> None:
         """Start empty."""
         self._states: dict[str, TargetState] = {}
+        # Lifetimes of removed targets that were leaving, oldest first.
+        self._departed: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         """Return the number of targets."""
@@ -103,13 +111,23 @@
         return self._states.get(target_id)
 
     def upsert(self, target: Target) -> None:
-        """Add or update a target; a restarted one gets a new state."""
+        """
+        Add or update a target; a restarted one gets a new state.
+
+        A target that is leaving doesn't return before it restarts: an entry
+        of the same start that says otherwise is from a copy of the store.
+        """
         state = self._states.get(target.target_id)
         if state is None or _is_restarted(state.target, target):
+            if target.lifetime in self._departed:
+                target = dataclasses.replace(target, leaving=True)
             self._states[target.target_id] = TargetState(target)
-        else:
-            state.target = target
-            state.remove_at = None
+            return
+        leaving = target.leaving or (
+            state.target.leaving and bool(target.started_unix_ms)
+        )
+        state.target = dataclasses.replace(target, leaving=leaving)
+        state.remove_at = None
 
     def ids(self) -> tuple[str, ...]:
         """Return the ids of all targets."""
@@ -127,9 +145,17 @@
             return
         if now is None or state.target.leaving:
             self._states.pop(target_id)
+            if state.target.leaving and state.target.started_unix_ms:
+                self._record_departed(state.target)
         elif state.remove_at is None:
             state.remove_at = now + LAPSED_ENTRY_GRACE_S
 
+    def _record_departed(self, target: Target) -> None:
+        """Record the lifetime of a removed target that was leaving."""
+        self._departed[target.lifetime] = None
+        if len(self._departed) > MAX_DEPARTED_TARGETS:
+            self._departed.popitem(last=False)
+
     def remove_expired(self, now: float) -> list[str]:
         """Remove targets that did not register again; return their ids."""
         expired_ids = [
