Keep the verdict on a version when the store comes back from a copy

A version that had been taken back got requests again: the operator's order is in the store under a new revision, which started the canary anew (45 arrivals instead of 41 in the test). Where the order kept its revision, its status said 'running' for good, since decided canaries are never written again. Cause: the identity of an order is a revision, and a verdict is taken as stored for ever.

The same order in a newer era goes on with its counts and its verdict, and a verdict counts as stored only once it was written or read in the store; so does one that was decided while the store was away.

--- a/fuchsiafork/gateway/canary.py
+++ b/fuchsiafork/gateway/canary.py
@@ -63,12 +63,28 @@
 
     :ivar revision: store revision of the order; an order with a higher
         revision replaces it.
+    :ivar era: era of the store in which it has that revision.
     """
 
     service: str
     version: str
     duration_s: float
     revision: int
+    era: int = 0
+
+    def replaces(self, other: 'RolloutOrder') -> bool:
+        """Return whether the operator gave this order after the other one."""
+        if self.repeats(other):
+            return False
+        return (self.era, self.revision) > (other.era, other.revision)
+
+    def repeats(self, other: 'RolloutOrder') -> bool:
+        """Return whether this is the other one, kept over a store's return."""
+        same = (self.version, self.duration_s) == (
+            other.version,
+            other.duration_s,
+        )
+        return same and self.era > other.era
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,6 +155,7 @@
     :ivar local_counts: counts of this process, by route.
     :ivar peer_counts: counts of the other processes, by instance id.
     :ivar counts_shared: whether the last write to the store succeeded.
+    :ivar recorded: whether the verdict is known to be stored.
     """
 
     def __init__(self, order: RolloutOrder, now: float) -> None:
@@ -148,9 +165,15 @@
         self.local_counts: CountsByRoute = {}
         self.peer_counts: dict[str, CountsByRoute] = {}
         self.counts_shared = True
+        self.recorded = False
         self._started_at = now
         self._baseline_s: dict[str, float] = {}
 
+    def continue_order(self, order: RolloutOrder) -> None:
+        """Go on with an order that the store has under another revision."""
+        self.order = order
+        self.recorded = False
+
     def record_answer(
         self,
         route: str,
--- a/fuchsiafork/gateway/rollouts.py
+++ b/fuchsiafork/gateway/rollouts.py
@@ -11,6 +11,7 @@
     AnswerCounts,
     Canary,
     CountsByRoute,
+    RolloutOrder,
     RouteCounts,
     Verdict,
 )
@@ -75,18 +76,23 @@
     def apply_orders(self, changes: Changes) -> None:
         """Start a canary for each new order among changed store items."""
         for item in changes.items:
-            order = read_order(item)
-            if order is None:
-                continue
-            current = self._canaries.get(order.service)
-            if current is None or current.order.revision < order.revision:
-                self._canaries[order.service] = Canary(order, self._clock.now())
-                self._log.info(
-                    'rollout_ordered',
-                    service=order.service,
-                    version=order.version,
-                    duration_s=order.duration_s,
-                )
+            order = read_order(item, changes.era)
+            if order is not None:
+                self._apply_order(order)
+
+    def _apply_order(self, order: RolloutOrder) -> None:
+        """Start a canary for an order unless it has one."""
+        current = self._canaries.get(order.service)
+        if current is not None and order.repeats(current.order):
+            current.continue_order(order)
+        elif current is None or order.replaces(current.order):
+            self._canaries[order.service] = Canary(order, self._clock.now())
+            self._log.info(
+                'rollout_ordered',
+                service=order.service,
+                version=order.version,
+                duration_s=order.duration_s,
+            )
 
     def get(self, service: str) -> Canary | None:
         """Return the canary of a service, None if it has none."""
@@ -142,11 +148,11 @@
             canary.record_answer(route, version, failed=failed, seconds=seconds)
 
     async def run(self) -> None:
-        """Share the counts and decide undecided canaries, periodically."""
+        """Share the counts and the verdicts, periodically."""
         while True:
             await asyncio.sleep(SYNC_INTERVAL_S)
             for canary in tuple(self._canaries.values()):
-                if canary.verdict is Verdict.NONE:
+                if not canary.recorded:
                     await self._sync_counts(canary)
 
     async def _sync_counts(self, canary: Canary) -> None:
@@ -170,8 +176,11 @@
         item = await self._store.read(_record_key(canary))
         for _ in range(MAX_CONFLICTS):
             if _load_record(canary, item, self._instance_id):
+                canary.recorded = True
                 return
-            verdict = canary.decide(self._clock.now())
+            verdict = canary.verdict
+            if verdict is Verdict.NONE:
+                verdict = canary.decide(self._clock.now())
             swap = await self._store.swap(
                 item.key,
                 item.revision,
@@ -190,7 +199,8 @@
     def _apply_stored_verdict(self, canary: Canary, verdict: Verdict) -> None:
         """Apply a verdict after it was stored."""
         canary.verdict = verdict
-        if verdict is not Verdict.NONE:
+        canary.recorded = verdict is not Verdict.NONE
+        if canary.recorded:
             fleet_counts = canary.fleet_counts()
             self._log.info(
                 'rollout_decided',
@@ -224,8 +234,10 @@
         for name, table in record.counts.items()
         if name != instance_id
     }
+    if record.verdict is Verdict.NONE:
+        return False
     canary.verdict = record.verdict
-    return canary.verdict is not Verdict.NONE
+    return True
 
 
 def decode_record(item: Item) -> _Record:
--- a/fuchsiafork/platform/rollouts.py
+++ b/fuchsiafork/platform/rollouts.py
@@ -26,8 +26,12 @@
     duration_s: float = pydantic.Field(alias='durationS', gt=0)
 
 
-def read_order(item: Item) -> RolloutOrder | None:
-    """Parse the order in a store item; return None if there is none."""
+def read_order(item: Item, era: int) -> RolloutOrder | None:
+    """
+    Parse the order in a store item; return None if there is none.
+
+    :param era: era of the store in which the item has its revision.
+    """
     if not item.key.startswith(_ORDER_PREFIX) or not item.value:
         return None
     try:
@@ -35,7 +39,7 @@
     except pydantic.ValidationError:
         return None
     return RolloutOrder(
-        order.service, order.to, order.duration_s, item.revision
+        order.service, order.to, order.duration_s, item.revision, era
     )
 
 
