Ignore entries of targets whose address can't be called

Of an entry with port 70000 or with a port of 30 digits beside sound targets, callers got 500 on some requests, orders included: connecting raised OverflowError, which no handler of connection errors knows, instead of one of the project's errors. Class: a value is checked by its characters, not by its range. Such an entry now names no target, as one that can't be read; slots are bounded; and an address that connect refuses is a ConnectError wherever it comes from. test_addresses_that_cannot_be_called failed before (500).

Other odd entries (deep nesting, numbers of 400 and 5,000 digits, bytes that are no text) never stopped the list from being followed, and an answer that ends within its head never was framed as whole: their tests passed before.

--- a/fuchsiafork/platform/documents.py
+++ b/fuchsiafork/platform/documents.py
@@ -1,6 +1,8 @@
 """Parses the operator's configuration and the targets' store entries."""
 
+import ipaddress
 import json
+from typing import Annotated
 
 import pydantic
 import pydantic.alias_generators
@@ -21,6 +23,8 @@
 from fuchsiafork.transport.caller import CallerLimits
 
 _MS_PER_S = 1000.0
+_MAX_PORT = 65_535
+_MAX_SLOTS = 1_000_000
 _KINDS = {
     'safe': CallKind.IDEMPOTENT,
     'unsafe': CallKind.NON_IDEMPOTENT,
@@ -93,6 +97,21 @@
     tenants: list[_Tenant] | None = None
 
 
+def _check_address(address: str) -> str:
+    """
+    Return an address that can be called.
+
+    :raises ValueError: if it is not an IPv4 address with a port.
+    """
+    host, _, port = address.rpartition(':')
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdecimal():
+        raise ValueError(f'{port!r} is no port')
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    return address
+
+
 class _Entry(_Model):
     """
     Store entry that a target writes about itself.
@@ -101,10 +120,10 @@
     """
 
     service: str = pydantic.Field(min_length=1, strict=True)
-    address: str = pydantic.Field(pattern=r'^[0-9.]+:[0-9]+$', strict=True)
+    address: Annotated[str, pydantic.AfterValidator(_check_address)]
     zone: str = pydantic.Field(strict=True)
     version: str = pydantic.Field(strict=True)
-    slots: int = pydantic.Field(gt=0, strict=True)
+    slots: int = pydantic.Field(gt=0, le=_MAX_SLOTS, strict=True)
     state: str = pydantic.Field(pattern='^(ready|draining)$', strict=True)
     born: int = pydantic.Field(0, strict=True)
 
--- a/fuchsiafork/transport/client_connection.py
+++ b/fuchsiafork/transport/client_connection.py
@@ -230,7 +230,7 @@
                 host,
                 int(port),
             )
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, OverflowError) as error:
         raise ConnectError(
             f'{address}: {error!r}',
             silent=isinstance(error, TimeoutError),
