Give up a watcher's call once when two sources bring a change

Two VMs may pass on the same change before the watcher's task runs again; the second one rescheduled a limit that is expiring already, which raises RuntimeError. Found on reading; test_call_is_given_up_once covers it.

--- a/fuchsiafork/gateway/watcher.py
+++ b/fuchsiafork/gateway/watcher.py
@@ -144,7 +144,7 @@
 
     def _give_up_call(self) -> None:
         """End the call under way, if any, without an answer."""
-        if self._caller is not None:
+        if self._caller is not None and not self._call_limit.expired():
             self._call_limit.reschedule(asyncio.get_running_loop().time())
 
     def _apply(
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -123,6 +123,38 @@
         )
 
 
+class TestAdvance(unittest.IsolatedAsyncioTestCase):
+    """Revisions whose changes another source has brought."""
+
+    async def test_call_is_given_up_once(self) -> None:
+        """Guards against an error when two sources bring a change at once."""
+        store = mock.Mock(spec=PlatformStore)
+        calls = []
+
+        async def watch(prefix: str, after: int, wait_s: float) -> Changes:
+            calls.append(after)
+            await asyncio.sleep(1)
+            return Changes((), after)
+
+        store.list_items.return_value = Changes((), 3)
+        store.watch = watch
+        watcher = Watcher(
+            'op/',
+            cast(PlatformStore, store),
+            SystemClock(),
+            random.Random(1),
+            mock.Mock(),
+        )
+        task = asyncio.create_task(watcher.run(mock.Mock(), mock.Mock()))
+        await wait_until(lambda: calls == [3])
+        for revision in (5, 6, 4):
+            watcher.advance(revision, 0)
+        watcher.advance(9, 1)
+        await wait_until(lambda: calls == [3, 6])
+        self.assertFalse(task.done())
+        task.cancel()
+
+
 class _Storm:
     """Store with one item that changes while its values are transferred."""
 
