Answer the requests that are at work when a stop ends

The limit of each request that was passed on now ends with the drain, so that its caller gets 504, or 503 if no target may have run it; a stream that has begun is broken off as before. Requests that arrive later than 2.8 s after SIGTERM were refused truly before, at each tenth of a second (test_orders_are_answered_or_truly_refused passed before); test_orders_at_work_at_the_end_are_answered failed before, 5 orders cut.

--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -328,6 +328,9 @@
         while self._callers.busy and self._clock.now() < drain_deadline:
             self._callers.close_idle(MIN_IDLE_BEFORE_CLOSE_S)
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        self._shared.end_requests()
+        # Lets the requests that timed out send their answers.
+        await asyncio.sleep(0)
         self._callers.close_idle(0)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FINAL_LEDGER_WRITE_TIMEOUT_S):
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -132,11 +132,15 @@
         attempts = RequestAttempts(
             route, answer_relay, self._record, self._shared, priority
         )
+        limit = asyncio.timeout(self._remaining())
+        self._shared.time_limits.add(limit)
         try:
-            async with asyncio.timeout(self._remaining()):
+            async with limit:
                 await attempts.run(self._deadline)
         except TimeoutError:
             raise self._timeout_error() from None
+        finally:
+            self._shared.time_limits.discard(limit)
 
     def _admit(self, route: Route, account: Account | None) -> None:
         """Select the service and record the admission."""
--- a/fuchsiafork/gateway/shared_state.py
+++ b/fuchsiafork/gateway/shared_state.py
@@ -1,5 +1,6 @@
 """State that all requests of a gateway process share."""
 
+import asyncio
 import dataclasses
 import random
 from typing import Any
@@ -27,6 +28,7 @@
     :ivar configuration: configuration in force, None before the first one.
     :ivar targets_last_contact_at: time of the last contact with the store
         about targets, seconds.
+    :ivar time_limits: limits of the requests that are sent to targets.
     """
 
     clock: Clock
@@ -45,3 +47,11 @@
     target_limits: TargetLimits
     configuration: Configuration | None = None
     targets_last_contact_at: float = 0.0
+    time_limits: set[asyncio.Timeout] = dataclasses.field(default_factory=set)
+
+    def end_requests(self) -> None:
+        """Let the requests that are sent to targets time out now."""
+        now = asyncio.get_running_loop().time()
+        for limit in self.time_limits:
+            if not limit.expired():
+                limit.reschedule(now)
