Confirm that no newer configuration exists before refusing with 404 or 401

A VM that waits for an answer of the store which was lost, or whose link is full, refuses a route or key that was confirmed long before, and its caller doesn't try another VM after a 404: one of three VMs refused with 404 in test_route_is_served_by_all_vms_in_time, and would have for 16 s. Class: what one VM doesn't know is taken for what doesn't exist.

Such a request now makes the VM ask a holder for newer changes, and the store if the holder doesn't answer; requests share the call, and its answer holds for 0.5 s. If neither answers, the request is refused as not run (2209, 503), so that the caller tries another VM.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -10,6 +10,7 @@
 from fuchsiafork.gateway.fleet_limits import FleetLimits
 from fuchsiafork.gateway.fleet_retries import FleetRetries
 from fuchsiafork.gateway.holder_election import SLOTS_PREFIX, HolderElection
+from fuchsiafork.gateway.item_confirmation import ItemConfirmation
 from fuchsiafork.gateway.item_replication import ItemReplication
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.notice_writer import QUARANTINE_PREFIX, NoticeWriter
@@ -117,26 +118,30 @@
     writer = NoticeWriter(
         instance_id, store, clock, dependencies.rng, metrics, log
     )
-    shared = _make_shared_state(
-        dependencies, store, budgets, writer, instance_id
-    )
     configuration_watcher = _make_watcher(
         names.OPERATOR_PREFIX, store, dependencies, newest_only=True
     )
+    items = ItemReplication(
+        settings.vm,
+        settings.limits.link_mbps,
+        configuration_watcher,
+        budgets.slots,
+        budgets.peers,
+        dependencies.rng,
+        metrics.passed_on_changes.inc,
+        log,
+    )
+    confirmation = ItemConfirmation(
+        names.OPERATOR_PREFIX, items, store, clock, log
+    )
+    shared = _make_shared_state(
+        dependencies, store, budgets, writer, instance_id, confirmation
+    )
     return Components(
         shared=shared,
         store=store,
         configuration_watcher=configuration_watcher,
-        operator_items=ItemReplication(
-            settings.vm,
-            settings.limits.link_mbps,
-            configuration_watcher,
-            budgets.slots,
-            budgets.peers,
-            dependencies.rng,
-            dependencies.metrics.passed_on_changes.inc,
-            log,
-        ),
+        operator_items=items,
         target_watcher=target_watcher,
         target_feed=TargetFeed(shared.targets, target_watcher, clock, log),
         clock_check=budgets.clock_check,
@@ -199,6 +204,7 @@
     budgets: _Budgets,
     writer: NoticeWriter,
     instance_id: str,
+    confirmation: ItemConfirmation,
 ) -> SharedState:
     """Return the state shared by requests."""
     clock, rng, log = dependencies.clock, dependencies.rng, dependencies.log
@@ -239,6 +245,7 @@
         prepaid_tokens=budgets.prepaid_tokens,
         rollouts=RolloutController(instance_id, store, clock, log),
         quarantine=quarantine,
+        confirmation=confirmation,
         target_limits=TargetLimits(
             fleet, targets, clock, dependencies.metrics, log
         ),
--- a/fuchsiafork/gateway/item_replication.py
+++ b/fuchsiafork/gateway/item_replication.py
@@ -76,6 +76,7 @@
         self._log = log
         self._mirror = ItemMirror()
         self._changed = asyncio.Event()
+        self._apply: Callable[[Changes], None] | None = None
         peers.register(CHANGES_PATH, self._handle)
 
     @property
@@ -88,6 +89,16 @@
         bits = self._mirror.largest_bytes * _BITS_PER_BYTE
         return bits / (self._link_mbps * _BITS_PER_MEGABIT) > SLOW_TRANSFER_S
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which changes are known."""
+        return self._mirror.revision
+
+    @property
+    def source_address(self) -> str:
+        """Address of a VM to ask, empty if none is known."""
+        return self._address(0)
+
     def on_listing(self, changes: Changes) -> None:
         """Record a complete listing of the store."""
         self._mirror.apply_listing(changes)
@@ -98,21 +109,23 @@
         self._mirror.apply(changes)
         self._notify()
 
-    async def run(self, apply: Callable[[Changes], None]) -> None:
-        """Pass changes that other VMs know to a function, until cancelled."""
+    def set_apply(self, apply: Callable[[Changes], None]) -> None:
+        """Pass changes that another source brings to a function."""
+        self._apply = apply
+
+    async def run(self) -> None:
+        """Follow the changes that other VMs know, until cancelled."""
         async with asyncio.TaskGroup() as group:
             for number in range(SOURCES):
-                group.create_task(self._follow(number, apply))
+                group.create_task(self._follow(number))
 
-    async def _follow(
-        self, number: int, apply: Callable[[Changes], None]
-    ) -> None:
+    async def _follow(self, number: int) -> None:
         """Ask one VM after the other for changes while it is needed."""
         failures = 0
         while True:
             address = self._address(number + failures)
             if address and self.needed:
-                answered = await self._fetch(address, apply)
+                answered = await self.fetch(address, WAIT_S, _LIMITS)
                 failures = 0 if answered else failures + SOURCES
             if not address or not self.needed or failures:
                 pause_s = self._rng.uniform(0, RETRY_INTERVAL_S)
@@ -123,16 +136,18 @@
         addresses = self._slots.addresses_for(self._vm)
         return addresses[number % len(addresses)] if addresses else ''
 
-    async def _fetch(
-        self, address: str, apply: Callable[[Changes], None]
+    async def fetch(
+        self, address: str, wait_s: float, limits: CallLimits
     ) -> bool:
-        """Apply the changes that a VM knows; return whether it answered."""
+        """
+        Apply the changes that a VM knows; return whether it answered.
+
+        :param wait_s: seconds that it waits for a change.
+        """
         mirror = self._mirror
-        call = [mirror.era, mirror.revision, mirror.digests, WAIT_S]
+        call = [mirror.era, mirror.revision, mirror.digests, wait_s]
         try:
-            answer = await self._peers.call(
-                address, CHANGES_PATH, call, _LIMITS
-            )
+            answer = await self._peers.call(address, CHANGES_PATH, call, limits)
         except PeerSilentError:
             return False
         if answer.status != OK_STATUS:
@@ -144,8 +159,7 @@
                 'changes_unreadable', peer=address, reason=repr(error)
             )
             return False
-        is_newer = changes.revision > mirror.revision
-        if changes.items and changes.era == mirror.era and is_newer:
+        if self._is_news(changes):
             self._log.info(
                 'changes_passed_on',
                 peer=address,
@@ -154,10 +168,25 @@
                 bytes=answer.received_bytes,
             )
             self._count(len(changes.items))
+        return self.apply(changes)
+
+    def apply(self, changes: Changes) -> bool:
+        """
+        Apply changes from another source than the watcher.
+
+        :return: whether they are of the same era as what is known.
+        """
+        if self._is_news(changes) and self._apply is not None:
             self.on_changes(changes)
-            apply(changes)
+            self._apply(changes)
             self._watcher.advance(changes.revision, changes.era)
-        return True
+        return changes.era == self._mirror.era
+
+    def _is_news(self, changes: Changes) -> bool:
+        """Return whether changes are newer than what is known."""
+        mirror = self._mirror
+        newer = changes.revision > mirror.revision
+        return bool(changes.items) and changes.era == mirror.era and newer
 
     async def _handle(self, content: Any) -> Any:
         """Answer another VM once there is a change that it doesn't know."""
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -187,13 +187,12 @@
             self._shared.prepaid_tokens.notify_store_answered()
 
         components, shared = self._components, self._shared
+        components.operator_items.set_apply(apply_operator_items)
         coroutines: dict[str, Task] = {
             'configuration': lambda: components.configuration_watcher.run(
                 on_operator_listing, on_operator_changes
             ),
-            'replication': lambda: components.operator_items.run(
-                apply_operator_items
-            ),
+            'replication': components.operator_items.run,
             'rollouts': shared.rollouts.run,
             'targets': lambda: components.target_watcher.run(
                 components.target_feed.apply_listing,
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -10,6 +10,7 @@
 from fuchsiafork.kernel import FuchsiaforkError
 from fuchsiafork.kernel.errors import (
     BadRequestError,
+    ConfigurationUnconfirmedError,
     DeadlineError,
     NotConfiguredError,
     OutcomeUnknownError,
@@ -80,9 +81,11 @@
         configuration = self._shared.configuration
         if configuration is None:
             raise NotConfiguredError('no configuration yet', retry_after=1)
-        self._record.configuration_version = configuration.version
-        route = self._find_route(configuration)
-        account = _find_account(configuration, route, metadata)
+        try:
+            route, account = self._match(configuration, metadata)
+        except (RouteNotFoundError, UnauthorizedError):
+            configuration = await self._confirm_configuration()
+            route, account = self._match(configuration, metadata)
         self._set_deadline(route, metadata)
         self._admit(route, account)
         self._shared.quarantine.check(metadata.shared_parts)
@@ -103,6 +106,33 @@
             priority = account.priority
         await self._send_to_targets(route, self._answer_relay, priority)
 
+    def _match(
+        self, configuration: Configuration, metadata: wire.RequestMetadata
+    ) -> tuple[Route, Account | None]:
+        """
+        Return the route of the request, and its client account, if any.
+
+        :raises RouteNotFoundError: if there is no route.
+        :raises UnauthorizedError: if the key belongs to no client account.
+        """
+        self._record.configuration_version = configuration.version
+        route = self._find_route(configuration)
+        return route, _find_account(configuration, route, metadata)
+
+    async def _confirm_configuration(self) -> Configuration:
+        """
+        Return the newest configuration, before a refusal relies on it.
+
+        :raises ConfigurationUnconfirmedError: if a newer one may exist.
+        """
+        confirmed = await self._shared.confirmation.confirm()
+        configuration = self._shared.configuration
+        if not confirmed or configuration is None:
+            raise ConfigurationUnconfirmedError(
+                'the route or key may be new', retry_after=0.0
+            )
+        return configuration
+
     def _parse_headers(self) -> wire.RequestMetadata:
         """
         Return what the headers say.
--- a/fuchsiafork/gateway/shared_state.py
+++ b/fuchsiafork/gateway/shared_state.py
@@ -7,6 +7,7 @@
 
 from fuchsiafork.gateway.configuration import Configuration
 from fuchsiafork.gateway.fleet_retries import FleetRetries
+from fuchsiafork.gateway.item_confirmation import ItemConfirmation
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.prepaid_tokens import PrepaidTokens
@@ -44,6 +45,7 @@
     prepaid_tokens: PrepaidTokens
     rollouts: RolloutController
     quarantine: PromptQuarantine
+    confirmation: ItemConfirmation
     target_limits: TargetLimits
     configuration: Configuration | None = None
     targets_last_contact_at: float = 0.0
--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -277,6 +277,14 @@
     retry_safe = True
 
 
+class ConfigurationUnconfirmedError(FuchsiaforkError):
+    """The route or key is unknown here, and may be new."""
+
+    code = 2209
+    status = 503
+    retry_safe = True
+
+
 class TargetFailedError(FuchsiaforkError):
     """The target failed after it received the request."""
 
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -5,6 +5,7 @@
 from typing import Any
 from unittest import mock
 
+from fuchsiafork.gateway.peers import PeerSilentError
 from fuchsiafork.observability.logs import configure_logs
 from fuchsiafork.transport import pool
 from fuchsiafork.transport.client_connection import (
@@ -16,6 +17,7 @@
 from standins.narrow_link import NarrowLink
 from standins.platform_caller import Call, call_once
 from standins.platform_site import PlatformSite, make_route
+from standins.platform_store import StoreFault
 from standins.platform_targets import PlatformTarget
 from tests.gateway_case import make_configuration
 
@@ -31,6 +33,8 @@
 # Time for which packets wait on a full link.
 QUEUE_S = 0.45
 OK_STATUS = 200
+NOT_FOUND = 404
+NOT_RUN = 503
 NARROW_VM = 'c-3'
 
 
@@ -133,3 +137,36 @@
             await asyncio.sleep(APPLY_LIMIT_S)
             status = await self.status_after(APPLY_LIMIT_S, '/added/', 'a-1')
         self.assertEqual(status, OK_STATUS)
+
+
+class TestLostAnswer(LateConfigurationCase):
+    """A watch whose answer never arrives on an open connection."""
+
+    async def test_route_is_served_by_all_vms_in_time(self) -> None:
+        """Guards against 404 from a VM that waits for a lost answer."""
+        self.site.store.lost_watches = 1
+        self.add_route('/added/')
+        await asyncio.sleep(APPLY_LIMIT_S)
+        call = Call('/added/1')
+        replies = [
+            await call_once(port, call) for port in self.site.ports.values()
+        ]
+        statuses = [reply.status for reply in replies]
+        self.assertEqual(set(statuses), {OK_STATUS})
+
+    async def test_unknown_route_is_not_found(self) -> None:
+        """Guards against refusals of what no VM and no store knows."""
+        for port in self.site.ports.values():
+            reply = await call_once(port, Call('/nowhere/1'))
+            self.assertEqual(reply.status, NOT_FOUND)
+
+    async def test_route_that_may_be_new_is_refused_as_not_run(self) -> None:
+        """Guards against 404 from a VM that can't tell."""
+        self.site.store.fault = StoreFault.SILENT
+        peers = self.site.gateways[NARROW_VM]._shared.peers
+        silent = PeerSilentError('cut off', sent=False)
+        with mock.patch.object(peers, 'call', side_effect=silent):
+            reply = await call_once(
+                self.site.ports[NARROW_VM], Call('/nowhere/1')
+            )
+        self.assertEqual(reply.status, NOT_RUN)
