Name only kept values as bases of differences

With more than eight large items, a VM could name a value that it had dropped as the base, and couldn't read the difference that it then got; changes came by the store only. Found on reading; test_value_that_is_no_longer_kept_is_sent_whole failed before.

--- a/fuchsiafork/gateway/item_mirror.py
+++ b/fuchsiafork/gateway/item_mirror.py
@@ -45,8 +45,12 @@
 
     @property
     def digests(self) -> dict[str, str]:
-        """Digests of the large values, by key."""
-        return dict(self._digests)
+        """Digests of the large values that are kept, by key."""
+        return {
+            key: digest
+            for key, digest in self._digests.items()
+            if digest in self._kept
+        }
 
     @property
     def largest_bytes(self) -> int:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fuchsiafork.gateway.item_mirror import ItemMirror
+from fuchsiafork.gateway.item_mirror import MAX_KEPT_VALUES, ItemMirror
 from fuchsiafork.kernel.decoding import DECODE_ERRORS
 from fuchsiafork.platform.store import Changes, Item
 from fuchsiafork.replication import (
@@ -143,3 +143,15 @@
         self.assertFalse(self.source.has_changes(request))
         self.source.apply(Changes((), 9))
         self.assertTrue(self.source.has_changes(request))
+
+    def test_value_that_is_no_longer_kept_is_sent_whole(self) -> None:
+        """Guards against differences from a value that one VM has dropped."""
+        items = [
+            Item(f'op/{number}', number + 1, encode_routes(*range(number, 90)))
+            for number in range(MAX_KEPT_VALUES + 2)
+        ]
+        self.source.apply_listing(Changes(tuple(items), 50))
+        self.receiver.apply_listing(Changes(tuple(reversed(items)), 50))
+        changed = Item(items[-1].key, 60, encode_routes(7))
+        self.source.apply(Changes((changed,), 60))
+        self.assertEqual(self.transfer().items, (changed,))
