--- a/fuchsiafork/prepaid/allocator.py
+++ b/fuchsiafork/prepaid/allocator.py
@@ -4,6 +4,7 @@
 import math
 
 from fuchsiafork.kernel import Clock
+from fuchsiafork.prepaid.account_state import AccountState
 from fuchsiafork.prepaid.changes import (
     AccountChange,
     AccountSummary,
@@ -20,50 +21,18 @@
     Share,
 )
 from fuchsiafork.prepaid.sizer import GrantSizer, TokenNeed
+from fuchsiafork.prepaid.store_era import StoreEra
 
 # How long a new process waits for the fleet time before it computes without it
 # which tokens its predecessor can't have spent.
 FLEET_TIME_WAIT_S = 1.5
 # Time constant of the moving average of the demand.
 DEMAND_TIME_CONSTANT_S = 8.0
-# Times after a return of the store from a copy in which no grant is raised.
-# All live holders write what they know within the first one, unless they are
-# cut off; a holder that doesn't write until the second one has ended or is cut
-# off, and what others have read of it counts.
-MIN_RETURN_WAIT_S = 1.0
-MAX_RETURN_WAIT_S = 5.0
 # A VM that requests tokens also gets the available tokens divided by this, so
 # that it doesn't have to ask again for each request.
 EXTRA_TRANSFER_DIVISOR = 4
 
 
-@dataclasses.dataclass(slots=True)
-class _AccountState:
-    """
-    State of one account in this process.
-
-    :ivar share: share in the last record known to be stored.
-    :ivar used: settled tokens that are not in that record; also reduced by
-        tokens received from other VMs, and raised by tokens sent to them.
-    :ivar settled: settled tokens of this process in that record.
-    :ivar reserved: upper bound of the cost of the open requests.
-    :ivar demand: moving average of the spending, tokens per second.
-    :ivar spent_since_update: tokens spent since the last demand update.
-    :ivar shortage: largest reservation refused since the last write.
-    :ivar frozen: whether spending is stopped until the next write because
-        the budget was lowered.
-    """
-
-    share: Share = dataclasses.field(default_factory=Share)
-    used: int = 0
-    settled: int = 0
-    reserved: int = 0
-    demand: float = 0.0
-    spent_since_update: float = 0.0
-    shortage: int = 0
-    frozen: bool = False
-
-
 class TokenAllocator:
     """
     Reserves and settles tokens, and plans the ledger writes.
@@ -88,7 +57,7 @@
         self._address = address
         self._clock = clock
         self._started_at = (clock.wall(), clock.now())
-        self._states: dict[str, _AccountState] = {}
+        self._states: dict[str, AccountState] = {}
         self._unconfirmed: list[LedgerChange] = []
         self._write_number = 0
         self._last_write_at = clock.now()
@@ -96,8 +65,7 @@
         self._holding = True
         self._demand_history_s = 0.0
         self._last_ledger: Ledger | None = None
-        self._era = 0
-        self._returned_at = -math.inf
+        self._era = StoreEra(clock)
         self._prepaid: dict[str, int] = {}
 
     @property
@@ -170,7 +138,7 @@
         changed = prepaid != self._prepaid
         for account, tokens in prepaid.items():
             if tokens < self._prepaid.get(account, 0):
-                state = self._states.setdefault(account, _AccountState())
+                state = self._states.setdefault(account, AccountState())
                 state.frozen = True
         self._prepaid = prepaid
         return changed
@@ -202,7 +170,7 @@
 
     def reserve(self, account: str, tokens: int) -> Reservation | None:
         """Return a reservation, None if too few tokens are available."""
-        state = self._states.setdefault(account, _AccountState())
+        state = self._states.setdefault(account, AccountState())
         if self.available(account) < tokens:
             state.shortage = max(state.shortage, tokens)
             return None
@@ -244,7 +212,7 @@
 
     def transfer_in(self, account: str, tokens: int) -> None:
         """Add tokens transferred from another VM."""
-        self._states.setdefault(account, _AccountState()).used -= tokens
+        self._states.setdefault(account, AccountState()).used -= tokens
 
     def withdraw_unused(self) -> dict[str, int]:
         """Remove all available tokens and return them by account."""
@@ -272,7 +240,7 @@
 
     def summary(self, account: str) -> AccountSummary:
         """Return the distribution of an account's tokens."""
-        state = self._states.get(account) or _AccountState()
+        state = self._states.get(account) or AccountState()
         prepaid = self._prepaid.get(account, 0)
         if self._last_ledger is None:
             return AccountSummary(prepaid, 0, 0, 0, 0, 0)
@@ -327,9 +295,7 @@
         :param era: number of its returns from a copy, each of which gives
             revisions out again.
         """
-        if self._last_ledger is not None and era != self._era:
-            self._returned_at = self._clock.now()
-        self._era = era
+        self._era.start(era, first=self._last_ledger is None)
 
     def apply_record(self, ledger: Ledger, revision: int) -> list[str]:
         """
@@ -354,7 +320,10 @@
             change
             for change in self._unconfirmed
             if change.write_number > applied
-            and (change.era != self._era or change.base_revision >= revision)
+            and (
+                change.era != self._era.number
+                or change.base_revision >= revision
+            )
         ]
         return lost
 
@@ -375,10 +344,10 @@
             self._write_number,
             written_at,
             self._address,
-            self._era,
+            self._era.number,
         )
         live_holders = ledger.live_holders(written_at.wall)
-        may_grow = self._parts_are_complete(ledger, live_holders)
+        may_grow = self._era.is_settled(ledger, live_holders)
         accounts = {
             account: self._plan_account(
                 ledger.entry(account), account, live_holders, may_grow=may_grow
@@ -386,7 +355,7 @@
             for account in self._prepaid
         }
         change = LedgerChange(
-            self._write_number, revision, self._era, accounts, retired
+            self._write_number, revision, self._era.number, accounts, retired
         )
         self._unconfirmed.append(change)
         return change
@@ -426,7 +395,7 @@
         return ledger.retire_predecessors(
             self._holder,
             started_at,
-            era=self._era,
+            era=self._era.number,
             defer_uncertain=young and not self._fleet_time.synchronized,
         )
 
@@ -438,19 +407,6 @@
             state.used -= account_change.used
             state.settled += account_change.used
 
-    def _parts_are_complete(
-        self, ledger: Ledger, live_holders: list[str]
-    ) -> bool:
-        """Return whether the holders have written since the store returned."""
-        now = self._clock.now()
-        if now - self._returned_at < MIN_RETURN_WAIT_S:
-            return False
-        _, started_at = self._started_at
-        waited_s = now - max(self._returned_at, started_at)
-        return waited_s >= MAX_RETURN_WAIT_S or all(
-            ledger.holders[name].era == self._era for name in live_holders
-        )
-
     def _plan_account(
         self,
         entry: AccountEntry,
@@ -460,7 +416,7 @@
         may_grow: bool,
     ) -> AccountChange:
         """Settle the used tokens of one account and size its new grant."""
-        state = self._states.setdefault(account, _AccountState())
+        state = self._states.setdefault(account, AccountState())
         demand = math.ceil(state.demand) if self.holding else 0
         unused = self._unused_grant(account, state)
         share = Share(unused, demand=demand, settled=state.settled + state.used)
@@ -480,7 +436,7 @@
             share.grant = share.burst = need.reserved
         return AccountChange(state.used, dataclasses.replace(share))
 
-    def _unused_grant(self, account: str, state: _AccountState) -> int:
+    def _unused_grant(self, account: str, state: AccountState) -> int:
         """
         Return the tokens of the grant that aren't settled.
 
@@ -489,7 +445,7 @@
         """
         grants = [state.share.grant]
         for change in self._unconfirmed:
-            if change.era != self._era and account in change.accounts:
+            if change.era != self._era.number and account in change.accounts:
                 planned = change.accounts[account]
                 grants.append(planned.share.grant + planned.used)
         return min(grants) - state.used
