--- a/fuchsiafork/platform/rollouts.py
+++ b/fuchsiafork/platform/rollouts.py
@@ -26,7 +26,7 @@
     duration_s: float = pydantic.Field(alias='durationS', gt=0)
 
 
-def read_order(item: Item, era: int) -> RolloutOrder | None:
+def read_order(item: Item, era: int = 0) -> RolloutOrder | None:
     """
     Parse the order in a store item; return None if there is none.
 
