--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -22,6 +22,20 @@
 STARTED_TARGETS = 40
 
 
+def make_watcher(
+    prefix: str, store: object, *, newest_only: bool = False
+) -> Watcher:
+    """Return a watcher of the items under a prefix of a store."""
+    return Watcher(
+        prefix,
+        cast(PlatformStore, store),
+        SystemClock(),
+        random.Random(1),
+        mock.Mock(),
+        newest_only=newest_only,
+    )
+
+
 class _SlowServer:
     """Sends a JSON list in chunks, and may stall half way."""
 
@@ -95,14 +109,7 @@
             return Changes((), after)
 
         store.list_items, store.watch = list_items, watch
-        watcher = Watcher(
-            'op/',
-            cast(PlatformStore, store),
-            SystemClock(),
-            random.Random(1),
-            mock.Mock(),
-            newest_only=newest_only,
-        )
+        watcher = make_watcher('op/', store, newest_only=newest_only)
         task = asyncio.create_task(watcher.run(mock.Mock(), mock.Mock()))
         await asyncio.wait_for(finished.wait(), 5)
         task.cancel()
@@ -138,13 +145,7 @@
 
         store.list_items.return_value = Changes((), 3)
         store.watch = watch
-        watcher = Watcher(
-            'op/',
-            cast(PlatformStore, store),
-            SystemClock(),
-            random.Random(1),
-            mock.Mock(),
-        )
+        watcher = make_watcher('op/', store)
         task = asyncio.create_task(watcher.run(mock.Mock(), mock.Mock()))
         await wait_until(lambda: calls == [3])
         for revision in (5, 6, 4):
@@ -192,14 +193,7 @@
     async def test_backlog_of_documents_does_not_grow(self) -> None:
         """Guards against a route that is served late after many changes."""
         storm = _Storm(versions=40, versions_per_transfer=4)
-        watcher = Watcher(
-            'op/',
-            cast(PlatformStore, storm),
-            SystemClock(),
-            random.Random(1),
-            mock.Mock(),
-            newest_only=True,
-        )
+        watcher = make_watcher('op/', storm, newest_only=True)
         task = asyncio.create_task(watcher.run(mock.Mock(), mock.Mock()))
         with mock.patch('fuchsiafork.gateway.watcher.RELIST_PAUSE_S', 0):
             await wait_until(lambda: storm.delivered == storm.revision == 40)
@@ -226,13 +220,7 @@
 
         store = mock.Mock(spec=PlatformStore, watch=watch)
         store.list_items.return_value = Changes((), content.revision)
-        watcher = Watcher(
-            'servers/',
-            cast(PlatformStore, store),
-            SystemClock(),
-            random.Random(1),
-            mock.Mock(),
-        )
+        watcher = make_watcher('servers/', store)
         task = asyncio.create_task(
             watcher.run(mock.Mock(), lambda changes: seen.extend(changes.items))
         )
