--- a/fuchsiafork/gateway/item_confirmation.py
+++ b/fuchsiafork/gateway/item_confirmation.py
@@ -21,8 +21,8 @@
     """
     Asks another VM, and the store if that doesn't answer, for newer items.
 
-    An answer to a watch may be lost, or late on a full link: a VM that is
-    alone with what it knows can't tell an unknown route from a new one.
+    An answer to a watch may be lost, or late on a full link, so that a VM
+    can't tell an unknown route from a new one by itself.
     """
 
     def __init__(
--- a/fuchsiafork/prepaid/ledger.py
+++ b/fuchsiafork/prepaid/ledger.py
@@ -191,7 +191,7 @@
         return newer
 
     def part_version(self, holder: str) -> tuple[int, bool]:
-        """Return what is higher for the newer of two parts of a holder."""
+        """Return the version of a holder's part, higher for newer ones."""
         if holder in self.retired:
             return self.retired[holder], True
         known = self.holders.get(holder)
