--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -38,6 +38,8 @@
     :ivar raw_response: bytes to send in place of any answer.
     :ivar trailing_bytes: bytes to send after a complete answer.
     :ivar rate_limit: limit that each answer names, empty for none.
+    :ivar leaving: say in each answer that the target leaves.
+    :ivar head_start: bytes to send ahead of each answer.
     :ivar drip: bytes to send without end in place of the end of a stream.
     """
 
@@ -55,6 +57,8 @@
     raw_response: bytes = b''
     trailing_bytes: bytes = b''
     rate_limit: str = ''
+    leaving: bool = False
+    head_start: bytes = b''
     drip: bytes = b''
 
 
@@ -150,6 +154,7 @@
             self.used_connections += not caller.used
             caller.used = True
             caller.write_late_copy()
+            caller.write_raw(behaviour.head_start)
         if request.header('x-expect-instance') not in {'', self.target_id}:
             caller.answer(421, [('x-instance-id', self.target_id)], b'')
             return
@@ -178,6 +183,15 @@
         finally:
             run.ended = True
 
+    def _announcements(
+        self, behaviour: Behaviour, request_id: str
+    ) -> list[tuple[str, str]]:
+        """Return the headers by which an answer tells of its target."""
+        headers = _limit_headers(behaviour)
+        if behaviour.leaving:
+            headers.append(('server-leaving', '1'))
+        return headers
+
     def _refuse(
         self,
         request: CallerRequest,
@@ -185,8 +199,11 @@
         behaviour: Behaviour,
     ) -> None:
         """Refuse a request without running it."""
-        headers = [('x-not-executed', '1'), *_limit_headers(behaviour)]
         request_id = request.header('x-attempt-id')
+        headers = [
+            ('x-not-executed', '1'),
+            *self._announcements(behaviour, request_id),
+        ]
         if request_id and not behaviour.anonymous:
             headers.append(('x-attempt-id', request_id))
         caller.answer(behaviour.status, headers, b'')
@@ -212,7 +229,10 @@
         request_id = request.header('x-attempt-id')
         if behaviour.crossed_answer_first:
             _write_raw(caller, _encode_answer('another-request', b'not yours'))
-        headers = [('x-attempt-id', request_id), *_limit_headers(behaviour)]
+        headers = [
+            ('x-attempt-id', request_id),
+            *self._announcements(behaviour, request_id),
+        ]
         if not behaviour.omit_seal:
             headers.append(('x-response-seal', f'mac-{request_id}'))
         if behaviour.events:
--- /dev/null
+++ b/standins/recorded_targets.py
@@ -0,0 +1,67 @@
+"""Targets that record what reaches them, and when they say that they leave."""
+
+import dataclasses
+import time
+
+from fuchsiafork.transport.caller import CallerConnection, CallerRequest
+from standins.platform_targets import Behaviour, PlatformTarget
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetEvent:
+    """
+    The arrival of a request, or the head of an answer to one.
+
+    :ivar at: time, seconds of the monotonic clock.
+    """
+
+    at: float
+    target_id: str
+    request_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class TargetRecord:
+    """
+    What several targets got and said.
+
+    :ivar arrivals: requests that reached a target, also refused ones.
+    :ivar farewells: answers by which a target said that it leaves.
+    """
+
+    arrivals: list[TargetEvent] = dataclasses.field(default_factory=list)
+    farewells: list[TargetEvent] = dataclasses.field(default_factory=list)
+
+
+class RecordedTarget(PlatformTarget):
+    """A target that adds to a record."""
+
+    def __init__(
+        self, target_id: str, service: str, domain: str, record: TargetRecord
+    ) -> None:
+        """Create a target that doesn't listen yet."""
+        super().__init__(target_id, service, domain)
+        self._record = record
+
+    async def _serve(
+        self, request: CallerRequest, caller: CallerConnection
+    ) -> None:
+        """Record the arrival and answer."""
+        request_id = request.header('x-attempt-id')
+        self._record.arrivals.append(self._event(request_id))
+        await super()._serve(request, caller)
+
+    def _announcements(
+        self, behaviour: Behaviour, request_id: str
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an answer, and record what they say."""
+        if behaviour.leaving:
+            self._record.farewells.append(self._event(request_id))
+        return super()._announcements(behaviour, request_id)
+
+    def _event(self, request_id: str) -> TargetEvent:
+        """Return what happens to a request now."""
+        return TargetEvent(time.monotonic(), self.target_id, request_id)
+
+
+__all__ = ('RecordedTarget', 'TargetEvent', 'TargetRecord')
