Log when an answer says that its target leaves

The header is read and logged, and nothing follows from it yet. Without the line the hypotheses on requests to leaving targets can't be told apart: whether a VM wasn't told, or was told and sent all the same.

--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -24,6 +24,7 @@
 from fuchsiafork.gateway.rollouts import RolloutController
 from fuchsiafork.gateway.shared_state import SharedState
 from fuchsiafork.gateway.store_feeds import TargetFeed
+from fuchsiafork.gateway.target_announcements import TargetAnnouncements
 from fuchsiafork.gateway.target_limits import TargetLimits
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
@@ -244,6 +245,7 @@
         dependencies.metrics,
         log,
     )
+    limits = TargetLimits(fleet, targets, clock, dependencies.metrics, log)
     return SharedState(
         clock=clock,
         rng=rng,
@@ -263,9 +265,8 @@
         rollouts=RolloutController(instance_id, store, clock, log),
         quarantine=quarantine,
         confirmation=confirmation,
-        target_limits=TargetLimits(
-            fleet, targets, clock, dependencies.metrics, log
-        ),
+        target_limits=limits,
+        announcements=TargetAnnouncements(limits, log),
     )
 
 
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -104,7 +104,7 @@
             request_part=part,
             on_begun=self._shared.quarantine.record_begun,
             on_answered=self._shared.quarantine.record_answered,
-            on_head=self._shared.target_limits.record_answer,
+            on_head=self._shared.announcements.record,
         )
         priority = route.priority
         if account is not None and account.priority is not None:
--- a/fuchsiafork/gateway/shared_state.py
+++ b/fuchsiafork/gateway/shared_state.py
@@ -14,6 +14,7 @@
 from fuchsiafork.gateway.reachability import DomainReachability
 from fuchsiafork.gateway.request_quarantine import RequestQuarantine
 from fuchsiafork.gateway.rollouts import RolloutController
+from fuchsiafork.gateway.target_announcements import TargetAnnouncements
 from fuchsiafork.gateway.target_limits import TargetLimits
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
@@ -48,6 +49,7 @@
     quarantine: RequestQuarantine
     confirmation: ItemConfirmation
     target_limits: TargetLimits
+    announcements: TargetAnnouncements
     configuration: Configuration | None = None
     configuration_confirmed_at: float = 0.0
     targets_confirmed_at: float = 0.0
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -68,6 +68,7 @@
     :ivar has_mac: whether the target's MAC is present.
     :ivar encoded: whether an intermediary encoded the body.
     :ivar keep_alive: value of the ``keep-alive`` header.
+    :ivar leaving: whether the target states that it leaves.
     :ivar rate_limit: requests a second that the target accepts from all VMs
         together, None if it names no limit.
     :ivar invalid_rate_limit: a limit that is no number, empty otherwise.
@@ -78,6 +79,7 @@
     has_mac: bool
     encoded: bool
     keep_alive: str
+    leaving: bool = False
     rate_limit: float | None = None
     invalid_rate_limit: str = _EMPTY
 
@@ -140,6 +142,8 @@
         has_mac=names.ANSWER_MAC in values,
         encoded=encoding != 'identity',
         keep_alive=values.get('keep-alive', _EMPTY),
+        leaving=values.get(names.TARGET_LEAVING, _EMPTY).strip()
+        == names.LEAVING,
         rate_limit=float(limit) if limit_valid else None,
         invalid_rate_limit=_EMPTY if limit_valid else limit,
     )
