--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -156,7 +156,9 @@
             caller.write_late_copy()
             caller.write_raw(behaviour.head_start)
         if request.header('x-expect-instance') not in {'', self.target_id}:
-            caller.answer(421, [('x-instance-id', self.target_id)], b'')
+            headers = self._announcements(behaviour, '')
+            headers.append(('x-instance-id', self.target_id))
+            caller.answer(421, headers, b'')
             return
         if behaviour.not_run:
             self._refuse(request, caller, behaviour)
--- /dev/null
+++ b/tests/test_ways_to_targets.py
@@ -0,0 +1,203 @@
+"""Tests of each way by which a request reaches a target that leaves."""
+
+import asyncio
+import unittest.mock
+from typing import Any
+
+from fuchsiafork.gateway.targets import INITIAL_BACKOFF_S
+from fuchsiafork.platform.headers import parse_response_headers
+from standins.platform_targets import Behaviour, PlatformTarget
+from tests.gateway_case import GatewayCase
+
+EVENTS = 6
+BROKEN_AFTER = 3
+WORK_S = 0.3
+LEAVING = [('server-leaving', '1')]
+
+
+class TestWays(GatewayCase):
+    """A target leaves after it was chosen, or after an attempt began."""
+
+    def announce(self, *targets: PlatformTarget) -> None:
+        """Let the gateway have an answer by which targets leave."""
+        shared = self.gateway._shared
+        for target in targets:
+            state = shared.targets.get(target.target_id)
+            self.assertIsNotNone(state)
+            if state is not None:
+                metadata = parse_response_headers(LEAVING)
+                shared.announcements.record(state.target, metadata)
+
+    def announce_at(
+        self, owner: object, name: str, *targets: PlatformTarget
+    ) -> Any:
+        """Return a patch by which targets leave while a call waits."""
+        original = getattr(owner, name)
+
+        async def call(*args: Any, **kwargs: Any) -> Any:
+            self.announce(*targets)
+            await asyncio.sleep(0)
+            return await original(*args, **kwargs)
+
+        return unittest.mock.patch.object(owner, name, call)
+
+    async def test_first_try(self) -> None:
+        """Guards against a word that only later answers are compared with."""
+        self.announce(self.plain[0])
+        for number in range(6):
+            await self.call('/look/1', request_id=f'r-{number}')
+        self.assertEqual(self.plain[0].arrivals, 0)
+
+    async def test_wait_for_a_permit(self) -> None:
+        """Guards against a choice that is not looked at again."""
+        limits = self.gateway._shared.target_limits
+        with self.announce_at(limits, 'acquire', *self.plain):
+            reply = await self.call('/look/1')
+        self.assertEqual(reply.status, 503)
+        self.assert_no_arrivals(self.plain)
+
+    async def test_wait_for_the_quarantine(self) -> None:
+        """Guards against a probe that is sent wherever it was admitted."""
+        quarantine = self.gateway._shared.quarantine
+        with self.announce_at(quarantine, 'admit', *self.engines):
+            reply = await self.call_engine()
+        self.assertEqual(reply.status, 503)
+        self.assert_no_arrivals(self.engines)
+
+    async def test_wait_for_a_connection(self) -> None:
+        """Guards against a request that is sent once a connection opens."""
+        pool = self.gateway._shared.pool
+        with self.announce_at(pool, 'acquire_for', *self.plain):
+            reply = await self.call('/order/1')
+        self.assertEqual(reply.status, 503)
+        self.assert_no_arrivals(self.plain)
+
+    async def test_wait_for_a_retry(self) -> None:
+        """Guards against a repeat at a target that left meanwhile."""
+        for target in self.plain:
+            target.behaviour = Behaviour(status=500)
+        retries = self.gateway._shared.retries
+        with self.announce_at(retries, 'try_acquire', *self.plain):
+            reply = await self.call('/look/1')
+        # The answer of the first target, as no other one is left.
+        self.assertEqual(reply.status, 500)
+        self.assertEqual(sum(target.arrivals for target in self.plain), 1)
+
+    async def test_same_target_after_a_kept_connection_ended(self) -> None:
+        """Guards against a repeat that asks for no choice of a target."""
+        await self.keep_connections()
+        arrivals = sum(target.arrivals for target in self.plain)
+        for target in self.plain:
+            target.behaviour = Behaviour(delay_s=WORK_S, no_answer=True)
+        task = asyncio.create_task(self.call('/look/1', request_id='r-last'))
+        await asyncio.sleep(WORK_S / 2)
+        self.announce(*self.plain)
+        await task
+        self.assertEqual(
+            sum(target.arrivals for target in self.plain), arrivals + 1
+        )
+
+    async def test_resumed_stream(self) -> None:
+        """Guards against a stream that goes on at a target that leaves."""
+        self.engines[0].share_next_behaviours(self.engines[1:])
+        self.engines[0].next_behaviours.append(
+            Behaviour(events=EVENTS, truncate_after=BROKEN_AFTER, delay_s=0.05)
+        )
+        for engine in self.engines:
+            engine.behaviour = Behaviour(events=EVENTS)
+        task = asyncio.create_task(self.call_engine('/talk/1'))
+        await self.eventually(lambda: any(e.runs for e in self.engines))
+        self.announce(*self.engines)
+        reply = await task
+        self.assertFalse(reply.complete)
+        self.assertEqual(sum(engine.arrivals for engine in self.engines), 1)
+
+    async def test_share_of_a_rollout(self) -> None:
+        """Guards against a new version that is chosen as it leaves."""
+        self.site.register(self.plain[0], version='v2')
+        order = {'service': 'plain', 'to': 'v2', 'durationS': 60}
+        self.store.put('op/rollout/plain', order)
+        rollouts = self.gateway._shared.rollouts
+        await self.eventually(lambda: rollouts.get('plain') is not None)
+        state = self.gateway._shared.targets.get(self.plain[0].target_id)
+        self.assertEqual(state.target.version if state else '', 'v2')
+        self.announce(self.plain[0])
+        replies = [
+            await self.call('/look/1', request_id=f'r-{number}')
+            for number in range(40)
+        ]
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.assertEqual(self.plain[0].arrivals, 0)
+
+    async def test_connections_are_closed_once_idle(self) -> None:
+        """Guards against connections that keep a target from its end."""
+        await self.keep_connections()
+        for target in self.plain:
+            target.behaviour = Behaviour(delay_s=WORK_S)
+        task = asyncio.create_task(self.call('/look/1', request_id='r-last'))
+        await asyncio.sleep(WORK_S / 2)
+        self.announce(*self.plain)
+        self.assertEqual((await task).status, 200)
+        await self.eventually(
+            lambda: not any(target.connections for target in self.plain), 1.0
+        )
+
+    async def test_header_is_not_passed_on(self) -> None:
+        """Guards against callers that take the VM for the one that leaves."""
+        for target in self.plain:
+            target.behaviour = Behaviour(leaving=True)
+        reply = await self.call('/look/1')
+        self.assertEqual(reply.status, 200)
+        self.assertNotIn('server-leaving', reply.headers)
+
+    async def keep_connections(self) -> None:
+        """Leave a kept connection to each plain target."""
+        for target in self.plain:
+            target.behaviour = Behaviour(delay_s=0.05)
+        await asyncio.gather(
+            *(
+                self.call('/look/1', request_id=f'before-{number}')
+                for number in range(4)
+            )
+        )
+
+    def assert_no_arrivals(self, targets: list[PlatformTarget]) -> None:
+        """Check that no request has reached targets."""
+        self.assertEqual([target.arrivals for target in targets], [0, 0])
+
+
+class TestWordsOfOthers(GatewayCase):
+    """Answers that say nothing of the target that was meant."""
+
+    async def test_informational_head(self) -> None:
+        """Guards against a word that comes before the final head only."""
+        early = b'HTTP/1.1 103 Early Hints\r\nserver-leaving: 1\r\n\r\n'
+        self.plain[0].behaviour = Behaviour(head_start=early)
+        await self._fill(6)
+        self.assertEqual(self.plain[0].arrivals, 1)
+
+    async def test_target_at_a_reused_address(self) -> None:
+        """Guards against a sound target that is taken for its successor."""
+        sound = self.plain[0]
+        sound.behaviour = Behaviour(leaving=True)
+        sound.target_id = 'somebody-else'
+        await self._fill(2)
+        self.assertEqual((sound.arrivals, sound.runs), (1, []))
+        sound.behaviour = Behaviour()
+        sound.target_id = 'p-1'
+        # The gateway avoids the target for a while, as for any wrong address.
+        await asyncio.sleep(INITIAL_BACKOFF_S)
+        await self._fill(6)
+        self.assertTrue(sound.runs)
+
+    async def _fill(self, count: int) -> None:
+        """Send requests, several at a time."""
+        for start in range(0, count, 2):
+            await asyncio.gather(
+                *(
+                    self.call(
+                        '/look/1', request_id=f'{id(self)}-{start}-{number}'
+                    )
+                    for number in range(2)
+                )
+            )
