Leave out what another target at a reused address says of itself

A target that got a request for the one that had its address before answers 421. A limit that it named there was taken for the limit of the one that is gone or moved, and its silence for the end of that limit. Found while looking for whose word an answer is; the test failed before with one limit too many.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -106,7 +106,8 @@
         :param on_answered: called with the part of the request when a target
             has run it to its end.
         :param on_head: called with each target that answers, and with what
-            the head of its answer says.
+            the head of its answer says; not for that of another target at a
+            reused address.
         """
         self._on_head = on_head
         self.may_have_run = False
@@ -213,7 +214,8 @@
     async def _relay_answer(self, call: TargetCall) -> Failure | None:
         """Return why the answer is not forwarded, None once it has been."""
         head = await self._read_head(call)
-        self._on_head(call.state.target, head.metadata)
+        if not head.misdirected:
+            self._on_head(call.state.target, head.metadata)
         content_type = dict(head.headers).get('content-type', '')
         if head.success:
             _require_unaltered(head)
--- a/tests/test_ways_to_targets.py
+++ b/tests/test_ways_to_targets.py
@@ -190,6 +190,15 @@
         await self._fill(6)
         self.assertTrue(sound.runs)
 
+    async def test_limit_of_a_target_at_a_reused_address(self) -> None:
+        """Guards against a limit that no target in use has named."""
+        self.plain[0].behaviour = Behaviour(rate_limit='1')
+        self.plain[0].target_id = 'somebody-else'
+        await self._fill(2)
+        self.assertEqual(self.plain[0].arrivals, 1)
+        limits = self.gateway._shared.target_limits
+        self.assertEqual(len(limits._named), 0)
+
     async def _fill(self, count: int) -> None:
         """Send requests, several at a time."""
         for start in range(0, count, 2):
