Decide in one place whether a target takes requests, also right before sending

Seen by callers and targets: requests reached targets whose answers had told their VM that they leave, for as long as the registry said nothing. The cause: the announcement wasn't read, and five modules decided for themselves, at the choice of a target only, so that a request which waited for a permit, a retry, a probe or a connection was sent all the same.

A record for each start of a target now takes what the registry, the answers and the connections say and gives one state. The gate asks it at the choice, and the call once more before the first byte; a request that finds its target changed goes to another one without a cost to its attempts or retries. What a target said outlasts its entry, and ends with another start.

Tests that used the table's list of accepting targets, which came to mean those that don't leave, have its new name; no assertion is weaker.

--- /dev/null
+++ b/fuchsiafork/availability/record.py
@@ -0,0 +1,120 @@
+"""What is known of one start of a target."""
+
+import math
+
+from fuchsiafork.availability.status import Availability, Source, Status
+
+# A target that can't be connected to, that stops sending during an answer or
+# whose address belongs to another target gets no requests for the initial
+# backoff, which doubles with each further failure.
+INITIAL_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 4.0
+_MAX_BACKOFF_COUNT = 8
+
+_ACCEPTING = Status(Availability.ACCEPTING)
+
+
+class AvailabilityRecord:
+    """
+    Statements on one start of a target; the first that holds decides.
+
+    Its entry was removed; it leaves, as its entry or an answer says; it is
+    avoided after a failure. docs/design.md, section 7, has the whole table.
+
+    :ivar backoff_until: end of the backoff after a failure, seconds.
+    """
+
+    def __init__(self, *, start_known: bool = True) -> None:
+        """
+        Start without statements.
+
+        :param start_known: whether the entry tells when the target started,
+            so that a later start can be told from this one.
+        """
+        self._start_known = start_known
+        self._gone_since: float | None = None
+        self._leaving: Status | None = None
+        self.backoff_until = -math.inf
+        self._backoff_since = -math.inf
+        self._backoff_count = 0
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the target has said that it leaves."""
+        return self._leaving is not None
+
+    @property
+    def outlasts_entry(self) -> bool:
+        """Whether the record must be kept once the entry is removed."""
+        return self._start_known and self.leaving
+
+    def status(self, now: float) -> Status:
+        """Return the state of the target."""
+        if self._gone_since is not None:
+            return Status(Availability.GONE, Source.REGISTRY, self._gone_since)
+        if self._leaving is not None:
+            return self._leaving
+        if now < self.backoff_until:
+            return Status(
+                Availability.PAUSED,
+                Source.CONNECTION,
+                self._backoff_since,
+                self.backoff_until,
+            )
+        return _ACCEPTING
+
+    def record_entry(self, now: float, *, leaving: bool) -> None:
+        """
+        Record what the target's entry says.
+
+        A target doesn't stay once it leaves: an entry of the same start that
+        says otherwise is from a copy of the store. Where no start is known,
+        an entry that no longer says so is from another one.
+        """
+        self._gone_since = None
+        if leaving:
+            self._leave(Source.REGISTRY, now)
+        elif self._left_unknown_start():
+            self._leaving = None
+
+    def record_removal(self, now: float) -> None:
+        """Record that the entry was removed, or replaced by another start."""
+        if self._gone_since is None:
+            self._gone_since = now
+
+    def announce_leaving(self, now: float) -> bool:
+        """Record an answer that says it; return whether it is news."""
+        news = self._leaving is None
+        self._leave(Source.ANSWER, now)
+        return news
+
+    def back_off(self, now: float) -> None:
+        """Start a backoff after a failure unless one is in progress."""
+        if now < self.backoff_until:
+            return
+        backoff_s = min(
+            MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**self._backoff_count
+        )
+        self._backoff_count = min(self._backoff_count + 1, _MAX_BACKOFF_COUNT)
+        self._backoff_since = now
+        self.backoff_until = now + backoff_s
+
+    def reset_backoff(self) -> None:
+        """Let the next backoff be the initial one."""
+        self._backoff_count = 0
+
+    def _leave(self, source: Source, now: float) -> None:
+        """Record that the target leaves, unless that is known."""
+        if self._leaving is None:
+            self._leaving = Status(Availability.LEAVING, source, now)
+
+    def _left_unknown_start(self) -> bool:
+        """Return whether an entry without a start said that it leaves."""
+        return (
+            not self._start_known
+            and self._leaving is not None
+            and self._leaving.source is Source.REGISTRY
+        )
+
+
+__all__ = ('INITIAL_BACKOFF_S', 'MAX_BACKOFF_S', 'AvailabilityRecord')
--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -9,7 +9,11 @@
     OversizedEventError,
 )
 from fuchsiafork.gateway.silence_policy import SilencePolicy, read_with_timeout
-from fuchsiafork.gateway.target_call import AnswerHead, TargetCall
+from fuchsiafork.gateway.target_call import (
+    AnswerHead,
+    TargetCall,
+    TargetWithdrawnError,
+)
 from fuchsiafork.gateway.targets import Target
 from fuchsiafork.kernel import FuchsiaforkError
 from fuchsiafork.kernel.errors import (
@@ -62,6 +66,8 @@
     :ivar target_at_fault: whether the failure counts against the target.
     :ivar broken: whether the connection ended before the whole answer.
     :ivar begun: whether the target had sent an event in this attempt.
+    :ivar withdrawn: whether the target took no more requests right before
+        this one was sent.
     """
 
     error: FuchsiaforkError
@@ -74,6 +80,7 @@
     target_at_fault: bool = True
     broken: bool = False
     begun: bool = False
+    withdrawn: bool = False
 
 
 class AnswerRelay:
@@ -177,6 +184,10 @@
                 unreachable=True,
                 silent=error.silent,
             )
+        except TargetWithdrawnError as error:
+            return Failure(
+                NoTargetError(str(error)), possibly_sent=False, withdrawn=True
+            )
         except BrokenAnswerError as error:
             return self._interrupted_failure(call, error)
         previously_may_have_run, self.may_have_run = self.may_have_run, True
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -25,6 +25,7 @@
 from fuchsiafork.gateway.shared_state import SharedState
 from fuchsiafork.gateway.store_feeds import TargetFeed
 from fuchsiafork.gateway.target_announcements import TargetAnnouncements
+from fuchsiafork.gateway.target_gate import TargetGate
 from fuchsiafork.gateway.target_limits import TargetLimits
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
@@ -266,7 +267,10 @@
         quarantine=quarantine,
         confirmation=confirmation,
         target_limits=limits,
-        announcements=TargetAnnouncements(limits, log),
+        target_gate=TargetGate(targets, limits, clock),
+        announcements=TargetAnnouncements(
+            targets, limits, dependencies.pool, clock, log
+        ),
     )
 
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -53,6 +53,18 @@
             'Targets that name a limit on the requests of all VMs.',
             registry=self.registry,
         )
+        self.withdrawn_attempts = prom.Counter(
+            'fuchsiafork_gateway_withdrawn_attempts',
+            'Attempts that were not sent, as their target took no more '
+            'requests once they were ready.',
+            registry=self.registry,
+        )
+        self.unavailable_targets = prom.Gauge(
+            'fuchsiafork_gateway_unavailable_targets',
+            'Targets that get no requests, by service, state and source.',
+            ('service', 'availability', 'source'),
+            registry=self.registry,
+        )
         self.permits = prom.Counter(
             'fuchsiafork_gateway_permits',
             'Permits asked for at limited targets, by decision.',
--- a/fuchsiafork/gateway/pages.py
+++ b/fuchsiafork/gateway/pages.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from fuchsiafork.availability import Availability, Status
 from fuchsiafork.gateway.shared_state import SharedState
 from fuchsiafork.platform import names
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
@@ -106,10 +107,9 @@
                     'address': state.target.address,
                     'domain': state.target.domain,
                     'version': state.target.version,
-                    'leaving': state.target.leaving,
                     'in_flight': state.in_flight,
                     'failing': round(state.failure_share, 3),
-                    'avoided_s': round(max(0.0, state.avoid_until - now), 2),
+                    **_describe_status(shared.target_gate.status(state), now),
                 }
                 for state in shared.targets.states()
             ],
@@ -133,3 +133,28 @@
             counts[service] = counts.get(service, 0) + 1
         for service, count in counts.items():
             metrics.targets.labels(service).set(count)
+        self._update_unavailable()
+
+    def _update_unavailable(self) -> None:
+        """Update the number of targets that get no requests."""
+        gauge = self._shared.metrics.unavailable_targets
+        gauge.clear()
+        for state in self._shared.targets.states():
+            status = self._shared.target_gate.status(state)
+            if not status.accepting:
+                gauge.labels(
+                    state.target.service,
+                    status.availability.value,
+                    status.source.value,
+                ).inc()
+
+
+def _describe_status(status: Status, now: float) -> dict[str, Any]:
+    """Return the fields of a target's state on the status page."""
+    fields: dict[str, Any] = {'availability': status.availability.value}
+    if not status.accepting:
+        fields['source'] = status.source.value
+        fields['for_s'] = round(now - status.since, 2)
+    if status.availability is Availability.PAUSED:
+        fields['left_s'] = round(status.until - now, 2)
+    return fields
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -1,5 +1,6 @@
 """Sends one request to one target after another until it is served."""
 
+from fuchsiafork.availability import Source
 from fuchsiafork.gateway.answer_relay import AnswerRelay, Failure
 from fuchsiafork.gateway.configuration import Route
 from fuchsiafork.gateway.request_record import RequestRecord
@@ -8,6 +9,7 @@
 from fuchsiafork.gateway.target_call import TargetCall
 from fuchsiafork.gateway.target_selection import SelectionCriteria
 from fuchsiafork.gateway.targets import TargetState
+from fuchsiafork.gateway.tried_targets import TriedTargets
 from fuchsiafork.kernel.errors import (
     FuchsiaforkError,
     NoTargetError,
@@ -15,8 +17,6 @@
 )
 from fuchsiafork.quarantine import Probe
 
-# Targets that can't be connected to that one request tolerates.
-MAX_UNREACHED_TARGETS = 3
 # Shortest time after which a caller that was refused a permit may return.
 MIN_RETRY_AFTER_S = 0.1
 
@@ -42,12 +42,7 @@
         self._answer_relay = answer_relay
         self._record = record
         self._shared = shared
-        self._tried_ids: list[str] = []
-        self._unreached_ids: set[str] = set()
-        # Target whose kept connection ended without an answer. It may have run
-        # the request, so that the request is sent there once more.
-        self._unanswered_state: TargetState | None = None
-        self._unanswered_ids: set[str] = set()
+        self._tried = TriedTargets(route.max_targets)
         # One sample for all attempts, so that a rollout assigns them to one
         # version.
         self._version_sample = shared.rng.random()
@@ -81,11 +76,16 @@
             if state is None or not await self._may_retry(failure):
                 break
             await self._admit(state)
-            failure = await self._attempt(state, deadline)
-            if failure is None:
+            latest = await self._attempt(state, deadline)
+            if latest is None:
                 return
-            self._handle_failure(state, failure)
-            if not await self._may_try_another(state, failure):
+            if latest.withdrawn:
+                # The retry that the fleet allowed is left for another target.
+                self._retry_acquired = _is_retried(failure)
+            else:
+                failure = latest
+            self._handle_failure(state, latest)
+            if not await self._may_try_another(state, latest):
                 break
         if failure is None:
             raise self._no_target_error()
@@ -96,12 +96,14 @@
     async def _acquire_target(self) -> TargetState | None:
         """Return a target that may get a request now, None if there is none."""
         limits = self._shared.target_limits
-        unanswered, self._unanswered_state = self._unanswered_state, None
+        unanswered = self._tried.pop_unanswered()
         if unanswered is not None:
-            if await limits.acquire(unanswered.target, self._priority):
+            if self._accepts(unanswered) and await limits.acquire(
+                unanswered.target, self._priority
+            ):
                 return unanswered
-            self._tried_ids.append(unanswered.target.target_id)
-            if len(self._tried_ids) >= self._route.max_targets:
+            self._tried.add(unanswered.target.target_id)
+            if self._tried.exhausted:
                 return None
         while True:
             state = self._select_target()
@@ -113,24 +115,17 @@
     def _no_target_error(self) -> FuchsiaforkError:
         """Return the error for a request that was sent to no target."""
         service = self._record.service
-        waits = [
-            wait_s
-            for state in self._shared.targets.accepting_targets(service)
-            if (wait_s := self._limit_wait_s(state))
-        ]
-        if waits:
+        pauses = self._shared.target_gate.pauses(service, self._priority)
+        ends = [pause.until for pause in pauses if pause.source is Source.LIMIT]
+        if ends:
+            wait_s = min(ends) - self._shared.clock.now()
             return TargetsLimitedError(
-                f'{len(waits)} targets of service {service!r} accept no more '
+                f'{len(ends)} targets of service {service!r} accept no more '
                 'requests for now',
-                retry_after=max(MIN_RETRY_AFTER_S, min(waits)),
+                retry_after=max(MIN_RETRY_AFTER_S, wait_s),
             )
         return NoTargetError(f'no target of service {service!r} is available')
 
-    def _limit_wait_s(self, state: TargetState) -> float:
-        """Return the seconds for which a target's limit is used up."""
-        limits = self._shared.target_limits
-        return limits.wait_s(state.target, self._priority)
-
     async def _admit(self, state: TargetState) -> None:
         """
         Check that the target may get the request, if need be as a probe.
@@ -169,7 +164,8 @@
             outcome = str(failure.error.code) if failure else 'served'
         finally:
             self._end_attempt(state, call, outcome)
-        self._record_outcome(state, call, failure)
+        if failure is None or not failure.withdrawn:
+            self._record_outcome(state, call, failure)
         return failure
 
     def _end_attempt(
@@ -190,6 +186,8 @@
                 count=call.skipped_answers,
             )
         call.release()
+        if state.availability.leaving:
+            self._shared.pool.drop(state.target.address)
 
     def _record_outcome(
         self,
@@ -208,7 +206,7 @@
         )
         if call.answered:
             self._shared.reachability.record_answer(state.target.domain)
-            if state.target.target_id in self._unanswered_ids:
+            if self._tried.is_unanswered(state.target.target_id):
                 self._shared.quarantine.record_alive(state.target)
 
     def _select_target(self) -> TargetState | None:
@@ -217,30 +215,26 @@
         service = self._record.service
         states = shared.rollouts.eligible_targets(
             service,
-            shared.targets.accepting_targets(service),
+            shared.targets.serving_targets(service),
             self._version_sample,
-        )
-        limited_ids = (
-            state.target.target_id
-            for state in states
-            if self._limit_wait_s(state)
+            self._accepts,
         )
         criteria = SelectionCriteria(
             service=service,
             affinity_key=self._answer_relay.affinity_key,
-            excluded_ids=frozenset((
-                *self._tried_ids,
-                *self._unreached_ids,
-                *limited_ids,
-            )),
+            excluded_ids=self._tried.excluded_ids,
         )
         return shared.target_selector.select(
             states, criteria, shared.clock.now()
         )
 
+    def _accepts(self, state: TargetState) -> bool:
+        """Return whether a target takes the request now."""
+        return self._shared.target_gate.accepts(state, self._priority)
+
     async def _may_retry(self, failure: Failure | None) -> bool:
         """Return whether the fleet may send another attempt."""
-        if failure is None or not failure.possibly_sent:
+        if not _is_retried(failure):
             return True
         acquired, self._retry_acquired = self._retry_acquired, False
         return acquired or await self._shared.retries.try_acquire(
@@ -255,8 +249,9 @@
         no other target would get it.
         """
         route = self._route
-        last = len(self._tried_ids) + 1 >= route.max_targets
-        if last or not route.retryable or not self._has_alternative():
+        if self._tried.last or not route.retryable:
+            return False
+        if not self._has_alternative():
             return False
         if not self._retry_acquired:
             self._retry_acquired = await self._shared.retries.try_acquire(
@@ -266,34 +261,35 @@
 
     def _has_alternative(self) -> bool:
         """Return whether another target could get the request."""
-        left_out = {*self._tried_ids, *self._unreached_ids}
+        excluded = set(self._tried.excluded_ids)
         if self._state is not None:
-            left_out.add(self._state.target.target_id)
-        accepting = self._shared.targets.accepting_targets(self._record.service)
+            excluded.add(self._state.target.target_id)
+        accepting = self._shared.target_gate.accepting_targets(
+            self._record.service, self._priority
+        )
         return any(
-            state.target.target_id not in left_out
-            and not self._limit_wait_s(state)
-            for state in accepting
+            state.target.target_id not in excluded for state in accepting
         )
 
     def _handle_failure(self, state: TargetState, failure: Failure) -> None:
         """Exclude the target for this request and back off, as applicable."""
-        self._log_failure(state, failure)
+        if failure.withdrawn:
+            self._log_withdrawn(state)
+        else:
+            self._log_failure(state, failure)
         now = self._shared.clock.now()
         target = state.target
-        if not failure.possibly_sent:
-            self._unreached_ids.add(target.target_id)
-            if target.target_id in self._unanswered_ids:
-                # It may have run the request and ended.
-                self._tried_ids.append(target.target_id)
+        if failure.withdrawn:
+            self._tried.add_withdrawn(target.target_id)
+        elif not failure.possibly_sent:
+            self._tried.add_unreached(target.target_id)
         elif failure.stale_connection:
-            self._unanswered_state = state
-            self._unanswered_ids.add(target.target_id)
+            self._tried.add_unanswered(state)
             self._shared.pool.drop(target.address)
         else:
-            self._tried_ids.append(target.target_id)
+            self._tried.add(target.target_id)
         if failure.unreachable and not failure.stale_connection:
-            state.back_off(now)
+            state.availability.back_off(now)
             self._shared.pool.drop(target.address)
         if failure.broken:
             self._shared.quarantine.record_broken(
@@ -303,6 +299,18 @@
             reachability = self._shared.reachability
             reachability.record_no_answer(target.domain, target.target_id, now)
 
+    def _log_withdrawn(self, state: TargetState) -> None:
+        """Log and count an attempt whose target took no more requests."""
+        status = self._shared.target_gate.status(state)
+        self._shared.metrics.withdrawn_attempts.inc()
+        self._shared.log.info(
+            'attempt_withdrawn',
+            request_id=self._record.request_id,
+            target=state.target.target_id,
+            availability=status.availability.value,
+            source=status.source.value,
+        )
+
     def _log_failure(self, state: TargetState, failure: Failure) -> None:
         """Log and count a failed attempt."""
         error = failure.error
@@ -331,16 +339,13 @@
     ) -> bool:
         """Return whether another target may be tried after a failure."""
         if not failure.possibly_sent:
-            exhausted = len(self._tried_ids) >= self._route.max_targets
-            return (
-                not exhausted
-                and len(self._unreached_ids) <= MAX_UNREACHED_TARGETS
-            )
+            tried = self._tried
+            return not tried.exhausted and not tried.too_many_unreached
         if failure.broken and not await self._may_repeat(state):
             return False
         if failure.stale_connection and self._route.retryable:
             return True
-        if len(self._tried_ids) >= self._route.max_targets:
+        if self._tried.exhausted:
             return False
         return failure.not_run or self._route.retryable
 
@@ -349,3 +354,8 @@
         return self._probe is None and await self._shared.quarantine.may_repeat(
             self._answer_relay.suspects, state.target
         )
+
+
+def _is_retried(failure: Failure | None) -> bool:
+    """Return whether the attempt after a failure counts as a retry."""
+    return failure is not None and failure.possibly_sent
--- a/fuchsiafork/gateway/rollouts.py
+++ b/fuchsiafork/gateway/rollouts.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+from collections.abc import Callable
 from typing import Annotated, Any
 
 import pydantic
@@ -115,12 +116,29 @@
         service: str,
         states: list[TargetState],
         sample: float,
+        accepts: Callable[[TargetState], bool],
     ) -> list[TargetState]:
         """
         Return the targets of the version that one request is assigned to.
 
+        Until the verdict, a request goes to the old version while no target
+        of the new one takes it. Afterwards it doesn't: the old version ends.
+
+        :param states: targets that don't leave.
         :param sample: random number of the request, from 0 to 1.
+        :param accepts: whether a target takes the request now.
         """
+        assigned = self._assigned_targets(service, states, sample, accepts)
+        return [state for state in assigned if accepts(state)]
+
+    def _assigned_targets(
+        self,
+        service: str,
+        states: list[TargetState],
+        sample: float,
+        accepts: Callable[[TargetState], bool],
+    ) -> list[TargetState]:
+        """Return the assigned targets; see eligible_targets()."""
         canary = self._canaries.get(service)
         if canary is None:
             return states
@@ -131,7 +149,9 @@
             return old
         if canary.verdict is Verdict.GOOD:
             return new or old
-        return new if sample < canary.traffic_share() and new else old
+        if sample < canary.traffic_share() and any(map(accepts, new)):
+            return new
+        return old
 
     def record_answer(
         self,
--- a/fuchsiafork/gateway/shared_state.py
+++ b/fuchsiafork/gateway/shared_state.py
@@ -15,6 +15,7 @@
 from fuchsiafork.gateway.request_quarantine import RequestQuarantine
 from fuchsiafork.gateway.rollouts import RolloutController
 from fuchsiafork.gateway.target_announcements import TargetAnnouncements
+from fuchsiafork.gateway.target_gate import TargetGate
 from fuchsiafork.gateway.target_limits import TargetLimits
 from fuchsiafork.gateway.target_selection import TargetSelector
 from fuchsiafork.gateway.targets import TargetTable
@@ -49,6 +50,7 @@
     quarantine: RequestQuarantine
     confirmation: ItemConfirmation
     target_limits: TargetLimits
+    target_gate: TargetGate
     announcements: TargetAnnouncements
     configuration: Configuration | None = None
     configuration_confirmed_at: float = 0.0
--- a/fuchsiafork/gateway/store_feeds.py
+++ b/fuchsiafork/gateway/store_feeds.py
@@ -106,7 +106,7 @@
         if target is None:
             self._log.info('entry_ignored', target=target_id)
             return
-        self._table.upsert(target)
+        self._table.upsert(target, self._clock.now())
         self._log.info(
             'target_seen',
             target=target_id,
@@ -121,7 +121,7 @@
         may_return = (
             now - self._watcher.connection_changed_at < REAPPEARANCE_WINDOW_S
         )
-        self._table.remove(target_id, now if may_return else None)
+        self._table.remove(target_id, now, may_return=may_return)
         self._log.info('target_gone', target=target_id, may_return=may_return)
 
 
--- a/fuchsiafork/gateway/target_announcements.py
+++ b/fuchsiafork/gateway/target_announcements.py
@@ -1,28 +1,50 @@
-"""Passes on what targets say of themselves in the heads of their answers."""
+"""Records what targets say of themselves in the heads of their answers."""
 
 from typing import Any
 
 from fuchsiafork.gateway.target_limits import TargetLimits
-from fuchsiafork.gateway.targets import Target
+from fuchsiafork.gateway.targets import Target, TargetTable
+from fuchsiafork.kernel import Clock
 from fuchsiafork.platform.headers import ResponseMetadata
+from fuchsiafork.transport.pool import ConnectionPool
 
 
 class TargetAnnouncements:
     """Records the announcements of targets."""
 
-    def __init__(self, limits: TargetLimits, log: Any) -> None:
-        """Pass limits on to those who keep them."""
+    def __init__(
+        self,
+        targets: TargetTable,
+        limits: TargetLimits,
+        pool: ConnectionPool,
+        clock: Clock,
+        log: Any,
+    ) -> None:
+        """
+        Record announcements in a table and in the limits.
+
+        :param pool: keeps no idle connections to targets that leave.
+        """
+        self._targets = targets
         self._limits = limits
+        self._pool = pool
+        self._clock = clock
         self._log = log
 
     def record(self, target: Target, metadata: ResponseMetadata) -> None:
         """Record what the head of an answer says of its target."""
         self._limits.record_answer(target, metadata)
         if metadata.leaving:
+            self._record_leaving(target, metadata.request_id)
+
+    def _record_leaving(self, target: Target, request_id: str) -> None:
+        """Record that a target leaves."""
+        self._pool.drop(target.address)
+        if self._targets.announce_leaving(target, self._clock.now()):
             self._log.info(
                 'target_announced_leaving',
                 target=target.lifetime,
-                request_id=metadata.request_id,
+                request_id=request_id,
             )
 
 
--- a/fuchsiafork/gateway/target_call.py
+++ b/fuchsiafork/gateway/target_call.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from fuchsiafork.availability import Status
 from fuchsiafork.gateway.targets import TargetState
 from fuchsiafork.kernel import Clock
 from fuchsiafork.platform import headers as wire
@@ -50,6 +51,19 @@
         return self.status in _SUCCESS
 
 
+class TargetWithdrawnError(Exception):
+    """
+    The target took no more requests right before this one was sent.
+
+    :ivar status: its state.
+    """
+
+    def __init__(self, status: Status) -> None:
+        """Keep the state."""
+        super().__init__(f'the target is {status.availability.value}')
+        self.status = status
+
+
 class TargetCall:
     """
     One HTTP exchange with a target.
@@ -76,6 +90,8 @@
         self._reused = False
         self._answered = False
         self._discarding = False
+        # Whether an informational answer said that the target leaves.
+        self._announced_leaving = False
 
     @property
     def answered(self) -> bool:
@@ -109,6 +125,7 @@
         :param require_fresh: whether the connection must be new or have
             answered recently.
         :raises ConnectError: if no byte of it was sent.
+        :raises TargetWithdrawnError: if the target takes no more requests.
         :raises BrokenAnswerError: if part of it may have been sent.
         """
         address = self.state.target.address
@@ -118,6 +135,9 @@
         )
         if not self._connection.open:
             raise ConnectError(f'{address} closed the new connection')
+        status = self.state.availability.status(self._clock.now())
+        if not status.accepting:
+            raise TargetWithdrawnError(status)
         self._reused = self._connection.used
         if request.body:
             length = ('content-length', str(len(request.body)))
@@ -144,11 +164,13 @@
         if self._discarding:
             await self._discard_answer(connection)
         while self.skipped_answers < MAX_MISMATCHED_ANSWERS:
-            event = await _next_final_head(connection)
+            event = await self._next_final_head(connection)
             self._answered = True
             self._first_byte_at = self._clock.now()
             pairs = wire.decode_headers(event.headers)
             metadata = wire.parse_response_headers(pairs)
+            if self._announced_leaving:
+                metadata = dataclasses.replace(metadata, leaving=True)
             head = AnswerHead(event.status_code, pairs, metadata)
             if self._matches_request(head, request_id):
                 connection.idle_limit_s = idle_limit_s(metadata.keep_alive)
@@ -218,15 +240,17 @@
         self._discarding = False
         connection.restart_answer()
 
+    async def _next_final_head(self, connection: ClientConnection) -> Any:
+        """
+        Return the next head of an answer that is not informational.
 
-async def _next_final_head(connection: ClientConnection) -> Any:
-    """
-    Return the next head of an answer that is not informational.
-
-    :raises BrokenAnswerError: if there are too many informational ones.
-    """
-    for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
-        event = await connection.next_event()
-        if not isinstance(event, h11.InformationalResponse):
-            return event
-    raise BrokenAnswerError('too many informational answers')
+        :raises BrokenAnswerError: if there are too many informational ones.
+        """
+        for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
+            event = await connection.next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+            pairs = wire.decode_headers(event.headers)
+            if wire.parse_response_headers(pairs).leaving:
+                self._announced_leaving = True
+        raise BrokenAnswerError('too many informational answers')
--- a/fuchsiafork/gateway/target_selection.py
+++ b/fuchsiafork/gateway/target_selection.py
@@ -56,15 +56,16 @@
         criteria: SelectionCriteria,
         now: float,
     ) -> TargetState | None:
-        """Return the target for an attempt, None if no target is eligible."""
-        not_excluded = [
+        """
+        Return the target for an attempt, None if no target is eligible.
+
+        :param states: targets that take requests.
+        """
+        candidates = [
             state
             for state in states
             if state.target.target_id not in criteria.excluded_ids
         ]
-        candidates = [
-            state for state in not_excluded if now >= state.avoid_until
-        ]
         eligible = exclude_failing(self._reachable(candidates, now))
         if not eligible:
             return None
--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -2,21 +2,17 @@
 
 import collections
 import dataclasses
-import math
 
-# A target that can't be connected to, that stops sending during an answer or
-# whose address belongs to another target gets no requests for the initial
-# backoff, which doubles with each further failure.
-INITIAL_BACKOFF_S = 0.5
-MAX_BACKOFF_S = 4.0
+from fuchsiafork.availability import AvailabilityRecord
+
 # Weight of the newest attempt in the average of failures.
 FAILURE_EWMA_WEIGHT = 0.25
 # Time in which a target registers again after its entry lapsed during an outage
 # of the store.
 LAPSED_ENTRY_GRACE_S = 1.8
-# Removed targets that were leaving, whose entries may come back with a copy of
-# the store.
-MAX_DEPARTED_TARGETS = 1000
+# Records of removed targets, whose entries may come back with a copy of the
+# store.
+MAX_FORMER_RECORDS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,7 +21,7 @@
     One replica of a service, as registered in the store.
 
     :ivar address: IP:PORT.
-    :ivar leaving: whether it is draining and accepts no new requests.
+    :ivar leaving: whether the entry says that it accepts no new requests.
     :ivar started_unix_ms: start time in Unix milliseconds, 0 if unknown.
     """
 
@@ -49,22 +45,21 @@
     """
     A target with the load and the failures observed by this process.
 
+    :ivar availability: what is known of this start of the target.
     :ivar in_flight: requests from this process that the target is serving.
     :ivar failure_share: exponentially weighted share of attempts that failed
         through the target's fault.
-    :ivar backoff_count: backoffs since the last attempt that did not fail, at
-        most 8.
-    :ivar avoid_until: end of the backoff, seconds.
     :ivar omits_request_ids: whether it has sent an answer without the id of
         its request, which only a new connection shows to belong to it.
     :ivar remove_at: time of removal unless the entry is registered again.
     """
 
     target: Target
+    availability: AvailabilityRecord = dataclasses.field(
+        default_factory=AvailabilityRecord
+    )
     in_flight: int = 0
     failure_share: float = 0.0
-    backoff_count: int = 0
-    avoid_until: float = -math.inf
     omits_request_ids: bool = False
     remove_at: float | None = None
 
@@ -74,17 +69,7 @@
             failed - self.failure_share
         )
         if not failed:
-            self.backoff_count = 0
-
-    def back_off(self, now: float) -> None:
-        """Start a backoff unless one is in progress."""
-        if now < self.avoid_until:
-            return
-        backoff_s = min(
-            MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**self.backoff_count
-        )
-        self.backoff_count = min(self.backoff_count + 1, 8)
-        self.avoid_until = now + backoff_s
+            self.availability.reset_backoff()
 
 
 class TargetTable:
@@ -93,8 +78,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self._states: dict[str, TargetState] = {}
-        # Lifetimes of removed targets that were leaving, oldest first.
-        self._departed: collections.OrderedDict[str, None] = (
+        # Records of removed targets by lifetime, oldest first.
+        self._former: collections.OrderedDict[str, AvailabilityRecord] = (
             collections.OrderedDict()
         )
 
@@ -110,62 +95,65 @@
         """Return the state of a target, None if it is unknown."""
         return self._states.get(target_id)
 
-    def upsert(self, target: Target) -> None:
-        """
-        Add or update a target; a restarted one gets a new state.
-
-        A target that is leaving doesn't return before it restarts: an entry
-        of the same start that says otherwise is from a copy of the store.
-        """
+    def upsert(self, target: Target, now: float) -> None:
+        """Add or update a target; a restarted one gets a new state."""
         state = self._states.get(target.target_id)
-        if state is None or _is_restarted(state.target, target):
-            if target.lifetime in self._departed:
-                target = dataclasses.replace(target, leaving=True)
-            self._states[target.target_id] = TargetState(target)
-            return
-        leaving = target.leaving or (
-            state.target.leaving and bool(target.started_unix_ms)
-        )
-        state.target = dataclasses.replace(target, leaving=leaving)
+        if state is not None and _is_restarted(state.target, target):
+            self._retire(state, now)
+            state = None
+        if state is None:
+            record = self._former.pop(target.lifetime, None)
+            state = TargetState(target, record or _make_record(target))
+            self._states[target.target_id] = state
+        state.target = target
         state.remove_at = None
+        state.availability.record_entry(now, leaving=target.leaving)
 
     def ids(self) -> tuple[str, ...]:
         """Return the ids of all targets."""
         return tuple(self._states)
 
-    def remove(self, target_id: str, now: float | None = None) -> None:
+    def remove(
+        self, target_id: str, now: float, *, may_return: bool = False
+    ) -> None:
         """
         Remove a target, at once or after a grace period.
 
-        :param now: current time if the target may register again soon; it is
+        :param may_return: whether the target may register again soon; it is
             then removed only after the grace period, unless it is leaving.
         """
         state = self._states.get(target_id)
         if state is None:
             return
-        if now is None or state.target.leaving:
-            self._states.pop(target_id)
-            if state.target.leaving and state.target.started_unix_ms:
-                self._record_departed(state.target)
+        if state.availability.leaving or not may_return:
+            self._retire(state, now)
         elif state.remove_at is None:
             state.remove_at = now + LAPSED_ENTRY_GRACE_S
 
-    def _record_departed(self, target: Target) -> None:
-        """Record the lifetime of a removed target that was leaving."""
-        self._departed[target.lifetime] = None
-        if len(self._departed) > MAX_DEPARTED_TARGETS:
-            self._departed.popitem(last=False)
-
     def remove_expired(self, now: float) -> list[str]:
         """Remove targets that did not register again; return their ids."""
-        expired_ids = [
-            target_id
-            for target_id, state in self._states.items()
+        expired = [
+            state
+            for state in self._states.values()
             if state.remove_at is not None and now >= state.remove_at
         ]
-        for target_id in expired_ids:
-            self._states.pop(target_id)
-        return expired_ids
+        for state in expired:
+            self._retire(state, now)
+        return [state.target.target_id for state in expired]
+
+    def _retire(self, state: TargetState, now: float) -> None:
+        """Remove a state; requests that wait for its target notice."""
+        self._states.pop(state.target.target_id)
+        record = state.availability
+        record.record_removal(now)
+        self._keep_record(state.target, record)
+
+    def _keep_record(self, target: Target, record: AvailabilityRecord) -> None:
+        """Keep the record of a removed target if its entry may come back."""
+        if record.outlasts_entry:
+            self._former[target.lifetime] = record
+        if len(self._former) > MAX_FORMER_RECORDS:
+            self._former.popitem(last=False)
 
     def is_replaced(self, target: Target) -> bool:
         """Return whether another target has registered at an address."""
@@ -176,14 +164,45 @@
             for state in self._states.values()
         )
 
-    def accepting_targets(self, service: str) -> list[TargetState]:
-        """Return the targets of a service that accept new requests."""
+    def serving_targets(self, service: str) -> list[TargetState]:
+        """Return the targets of a service that don't leave."""
         return [
             state
             for state in self._states.values()
-            if state.target.service == service and not state.target.leaving
+            if state.target.service == service
+            and not state.availability.leaving
         ]
 
+    def announce_leaving(self, target: Target, now: float) -> bool:
+        """
+        Record an answer that says that a target leaves.
+
+        Its entry may have been removed meanwhile, and may come back with a
+        copy of the store.
+
+        :returns: whether it is news.
+        """
+        state = self._states.get(target.target_id)
+        if state is not None and _is_same_start(state.target, target):
+            return state.availability.announce_leaving(now)
+        record = self._former.get(target.lifetime) or _make_record(target)
+        news = record.announce_leaving(now)
+        record.record_removal(now)
+        self._keep_record(target, record)
+        return news
+
+
+def _is_same_start(first: Target, second: Target) -> bool:
+    """Return whether two entries are from one start of a target."""
+    if first.started_unix_ms:
+        return first.lifetime == second.lifetime
+    return not _is_restarted(first, second)
+
+
+def _make_record(target: Target) -> AvailabilityRecord:
+    """Return the record of a start of a target without statements."""
+    return AvailabilityRecord(start_known=bool(target.started_unix_ms))
+
 
 def _is_restarted(old: Target, new: Target) -> bool:
     """Return whether a target has restarted under the same id."""
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -150,8 +150,13 @@
 
 
 def caller_headers(headers: HeaderPairs) -> list[tuple[str, str]]:
-    """Return the headers of a response that is forwarded to its caller."""
-    dropped = _dropped_headers(headers)
+    """
+    Return the headers of a response that is forwarded to its caller.
+
+    That a target leaves concerns the VMs that send to it: a caller would take
+    it for the VM.
+    """
+    dropped = _dropped_headers(headers) | {names.TARGET_LEAVING}
     return [pair for pair in headers if pair[0] not in dropped]
 
 
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -281,9 +281,7 @@
         """Guards against requests to a draining target."""
         self.site.register(self.plain[0], state='draining')
         table = self.gateway._shared.targets
-        await self.eventually(
-            lambda: len(table.accepting_targets('plain')) == 1
-        )
+        await self.eventually(lambda: len(table.serving_targets('plain')) == 1)
         for number in range(6):
             await self.call('/look/1', request_id=f'r-{number}')
         self.assertEqual(self.plain[0].runs, [])
@@ -302,7 +300,7 @@
         await self.eventually(
             lambda: self.gateway._components.watchers.targets.connected
         )
-        self.assertEqual(len(table.accepting_targets('plain')), 2)
+        self.assertEqual(len(table.serving_targets('plain')), 2)
         self.site.register(self.plain[0])
         lapsed_id = self.plain[1].target_id
         await self.eventually(lambda: table.get(lapsed_id) is None)
@@ -315,9 +313,7 @@
         self.store.notify_watchers()
         self.site.register(self.plain[1], state='draining')
         table = self.gateway._shared.targets
-        await self.eventually(
-            lambda: len(table.accepting_targets('plain')) == 1
-        )
+        await self.eventually(lambda: len(table.serving_targets('plain')) == 1)
         self.assertEqual((await self.call('/look/1')).status, 200)
 
     async def test_misdirected_request_is_sent_to_another_target(self) -> None:
--- a/tests/test_gateway_crossed_answers.py
+++ b/tests/test_gateway_crossed_answers.py
@@ -53,9 +53,7 @@
         self._ids = itertools.count()
         self.store.remove(f'servers/{self.plain[1].target_id}')
         table = self.gateway._shared.targets
-        await self.eventually(
-            lambda: len(table.accepting_targets('plain')) == 1
-        )
+        await self.eventually(lambda: len(table.serving_targets('plain')) == 1)
 
     async def test_copy_does_not_answer_another_request(self) -> None:
         """Guards against refusing a request that runs (REFUSED)."""
@@ -123,7 +121,7 @@
     def _end_backoff(self) -> None:
         """Let the target get requests again after a misdirected one."""
         for state in self.gateway._shared.targets.states():
-            state.avoid_until = 0.0
+            state.availability.backoff_until = 0.0
 
     async def _check_served(self, path: str, request_id: str) -> None:
         """Check that a request runs once and gets its own answer."""
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from fuchsiafork.availability import MAX_BACKOFF_S
 from fuchsiafork.gateway.event_stream import EventStreamParser
 from fuchsiafork.gateway.reachability import SUSPICION_S, DomainReachability
 from fuchsiafork.gateway.retry_budget import (
@@ -15,7 +16,6 @@
     TargetSelector,
 )
 from fuchsiafork.gateway.targets import (
-    MAX_BACKOFF_S,
     Target,
     TargetState,
     TargetTable,
@@ -50,10 +50,18 @@
 
     def _select(self, criteria: SelectionCriteria, now: float = 0.0) -> str:
         """Return the id of the selected target."""
-        state = self.target_selector.select(self.states, criteria, now)
+        state = self.target_selector.select(self._accepting(now), criteria, now)
         assert state is not None
         return state.target.target_id
 
+    def _accepting(self, now: float) -> list[TargetState]:
+        """Return the targets that take requests."""
+        return [
+            state
+            for state in self.states
+            if state.availability.status(now).accepting
+        ]
+
     def test_vms_select_the_same_target_for_a_shared_prompt(self) -> None:
         """Guards against processing one prompt on several engines."""
         other = TargetSelector('c', DomainReachability(), random.Random(7))
@@ -104,11 +112,11 @@
     def test_tried_and_backed_off_targets_are_skipped(self) -> None:
         """Guards against sending a request to the same target twice."""
         excluded_ids = tuple(f't-{n}' for n in range(4))
-        self.states[4].back_off(0.0)
+        self.states[4].availability.back_off(0.0)
         self.assertEqual(self._select(_criteria('k', excluded_ids)), 't-5')
-        self.states[5].back_off(0.0)
+        self.states[5].availability.back_off(0.0)
         selected = self.target_selector.select(
-            self.states, _criteria('k', excluded_ids), 0.1
+            self._accepting(0.1), _criteria('k', excluded_ids), 0.1
         )
         self.assertIsNone(selected)
 
@@ -116,10 +124,10 @@
         """Guards against retrying an unreachable target all the time."""
         now = 0.0
         for _ in range(10):
-            self.states[0].back_off(now)
-            now = self.states[0].avoid_until
-        self.states[0].back_off(now)
-        backoff_s = self.states[0].avoid_until - now
+            self.states[0].availability.back_off(now)
+            now = self.states[0].availability.backoff_until
+        self.states[0].availability.back_off(now)
+        backoff_s = self.states[0].availability.backoff_until - now
         self.assertEqual(backoff_s, MAX_BACKOFF_S)
 
     def test_unreachable_domain_is_avoided(self) -> None:
@@ -239,11 +247,15 @@
     def test_restarted_target_gets_a_new_state(self) -> None:
         """Guards against counting failures before a restart."""
         table = TargetTable()
-        table.upsert(Target('t', 's', '1:1', 'a', 'v1', 1, started_unix_ms=5))
+        table.upsert(
+            Target('t', 's', '1:1', 'a', 'v1', 1, started_unix_ms=5), 0.0
+        )
         state = table.get('t')
         assert state is not None
         state.record_attempt(failed=True)
-        table.upsert(Target('t', 's', '1:1', 'a', 'v1', 1, started_unix_ms=9))
+        table.upsert(
+            Target('t', 's', '1:1', 'a', 'v1', 1, started_unix_ms=9), 0.0
+        )
         restarted = table.get('t')
         assert restarted is not None
         self.assertEqual(restarted.failure_share, 0)
@@ -251,6 +263,6 @@
     def test_leaving_target_is_removed_at_once(self) -> None:
         """Guards against requests to a replica that has shut down."""
         table = TargetTable()
-        table.upsert(Target('t', 's', '1:1', 'a', 'v1', 1, leaving=True))
-        table.remove('t', 0.0)
+        table.upsert(Target('t', 's', '1:1', 'a', 'v1', 1, leaving=True), 0.0)
+        table.remove('t', 0.0, may_return=True)
         self.assertEqual(len(table), 0)
--- a/tests/test_gateway_lost_answers.py
+++ b/tests/test_gateway_lost_answers.py
@@ -53,7 +53,7 @@
     def _end_backoff(self) -> None:
         """Let all targets get requests again."""
         for state in self.gateway._shared.targets.states():
-            state.avoid_until = 0.0
+            state.availability.backoff_until = 0.0
             state.failure_share = 0.0
 
 
@@ -96,7 +96,7 @@
         for target in self.plain:
             self.store.remove(f'servers/{target.target_id}')
         await self.eventually(
-            lambda: not self.gateway._shared.targets.accepting_targets('plain')
+            lambda: not self.gateway._shared.targets.serving_targets('plain')
         )
         self.assertEqual((await task).status, 200)
         self.assertEqual(sum(len(target.runs) for target in self.plain), 1)
--- a/tests/test_gateway_malformed.py
+++ b/tests/test_gateway_malformed.py
@@ -144,9 +144,7 @@
         self.store.notify_watchers()
         self.site.register(self.plain[1], state='draining')
         table = self.gateway._shared.targets
-        await self.eventually(
-            lambda: len(table.accepting_targets('plain')) == 1
-        )
+        await self.eventually(lambda: len(table.serving_targets('plain')) == 1)
         await self.change_route('/look/', maxAttempts=1)
         self.assertEqual((await self.call('/look/1')).status, 200)
         self._check_no_task_failed()
@@ -172,9 +170,7 @@
             self.site.register(self.plain[1], state='draining')
             await asyncio.sleep(0.5)
         self.site.register(self.plain[0], state='draining')
-        await self.eventually(
-            lambda: len(table.accepting_targets('plain')) == 1
-        )
+        await self.eventually(lambda: len(table.serving_targets('plain')) == 1)
         self._check_no_task_failed()
 
     async def test_failed_task_is_started_again(self) -> None:
--- a/tests/test_gateway_pages.py
+++ b/tests/test_gateway_pages.py
@@ -133,3 +133,21 @@
         self.assertLess(status['ages_s']['targets'], 5)
         self.assertEqual(len(status['targets']), 4)
         self.assertGreater(status['tokens']['acme'], 0)
+
+    async def test_target_that_gets_no_request(self) -> None:
+        """Guards against a target that is left out without a trace."""
+        self.plain[0].behaviour = Behaviour(leaving=True)
+        for number in range(8):
+            await self.call('/look/1', request_id=f'r-{number}')
+        page = await self._page('/status')
+        rows = {row['target']: row for row in json.loads(page)['targets']}
+        self.assertEqual(rows['p-1']['availability'], 'leaving')
+        self.assertEqual(rows['p-1']['source'], 'answer')
+        self.assertGreaterEqual(rows['p-1']['for_s'], 0)
+        self.assertEqual(rows['p-2']['availability'], 'accepting')
+        metrics = (await self._page('/metrics')).decode()
+        self.assertIn(
+            'fuchsiafork_gateway_unavailable_targets{availability="leaving",'
+            'service="plain",source="answer"} 1.0',
+            metrics,
+        )
--- a/tests/test_gateway_slow_streams.py
+++ b/tests/test_gateway_slow_streams.py
@@ -37,9 +37,7 @@
         """Guards against giving up the only target of a service."""
         self.store.remove(f'servers/{self.plain[1].target_id}')
         table = self.gateway._shared.targets
-        await self.eventually(
-            lambda: len(table.accepting_targets('plain')) == 1
-        )
+        await self.eventually(lambda: len(table.serving_targets('plain')) == 1)
         self.plain[0].behaviour = Behaviour(delay_s=LONG_PAUSE_S)
         reply = await self.call('/look/1')
         self.assertEqual(reply.status, 200)
--- a/tests/test_quarantine_troubles.py
+++ b/tests/test_quarantine_troubles.py
@@ -281,7 +281,7 @@
             lambda: (
                 [
                     state.target.target_id
-                    for state in table.accepting_targets('engine')
+                    for state in table.serving_targets('engine')
                 ]
                 == ['e-9']
             )
--- a/tests/test_request_parts.py
+++ b/tests/test_request_parts.py
@@ -87,17 +87,17 @@
         """Guards against a process that is taken for the one before."""
         table = TargetTable()
         old = make_target('t-1', '10.0.0.1:80', 1000)
-        table.upsert(old)
+        table.upsert(old, 0.0)
         self.assertFalse(table.is_replaced(old))
-        table.upsert(make_target('t-2', '10.0.0.2:80', 5000))
+        table.upsert(make_target('t-2', '10.0.0.2:80', 5000), 0.0)
         self.assertFalse(table.is_replaced(old))
-        table.upsert(make_target('t-3', '10.0.0.1:80', 5000))
+        table.upsert(make_target('t-3', '10.0.0.1:80', 5000), 0.0)
         self.assertTrue(table.is_replaced(old))
 
     def test_earlier_entry_of_the_address_does_not(self) -> None:
         """Guards against entries that outlive their targets."""
         table = TargetTable()
-        table.upsert(make_target('t-0', '10.0.0.1:80', 1000))
+        table.upsert(make_target('t-0', '10.0.0.1:80', 1000), 0.0)
         self.assertFalse(
             table.is_replaced(make_target('t-1', '10.0.0.1:80', 2000))
         )
--- a/tests/test_ways_to_targets.py
+++ b/tests/test_ways_to_targets.py
@@ -4,7 +4,7 @@
 import unittest.mock
 from typing import Any
 
-from fuchsiafork.gateway.targets import INITIAL_BACKOFF_S
+from fuchsiafork.availability import INITIAL_BACKOFF_S
 from fuchsiafork.platform.headers import parse_response_headers
 from standins.platform_targets import Behaviour, PlatformTarget
 from tests.gateway_case import GatewayCase
@@ -119,8 +119,10 @@
         self.store.put('op/rollout/plain', order)
         rollouts = self.gateway._shared.rollouts
         await self.eventually(lambda: rollouts.get('plain') is not None)
-        state = self.gateway._shared.targets.get(self.plain[0].target_id)
-        self.assertEqual(state.target.version if state else '', 'v2')
+        table = self.gateway._shared.targets
+        await self.eventually(
+            lambda: any(s.target.version == 'v2' for s in table.states())
+        )
         self.announce(self.plain[0])
         replies = [
             await self.call('/look/1', request_id=f'r-{number}')
