--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -12,6 +12,7 @@
 from standins.raw_connection import RawConnection, encode_response
 
 EVENT_TOKENS = 5
+_UNAVAILABLE = 503
 # Only this many of the last runs are checked for being in progress.
 _RECENT_RUNS = 500
 
@@ -38,6 +39,8 @@
     :ivar raw_response: bytes to send in place of any answer.
     :ivar trailing_bytes: bytes to send after a complete answer.
     :ivar rate_limit: limit that each answer names, empty for none.
+    :ivar retry_after: time that refusals and answers 503 name, in which the
+        target wants nothing more from the VM; empty for none.
     :ivar leaving: say in each answer that the target leaves.
     :ivar head_start: bytes to send ahead of each answer.
     :ivar drip: bytes to send without end in place of the end of a stream.
@@ -57,6 +60,7 @@
     raw_response: bytes = b''
     trailing_bytes: bytes = b''
     rate_limit: str = ''
+    retry_after: str = ''
     leaving: bool = False
     head_start: bytes = b''
     drip: bytes = b''
@@ -192,6 +196,8 @@
         headers = _limit_headers(behaviour)
         if behaviour.leaving:
             headers.append(('server-leaving', '1'))
+        if behaviour.retry_after and behaviour.status == _UNAVAILABLE:
+            headers.append(('retry-after', behaviour.retry_after))
         return headers
 
     def _refuse(
--- a/standins/recorded_targets.py
+++ b/standins/recorded_targets.py
@@ -1,5 +1,6 @@
-"""Targets that record what reaches them, and when they say that they leave."""
+"""Targets that record what reaches them, and what they say of themselves."""
 
+import contextlib
 import dataclasses
 import time
 
@@ -20,6 +21,19 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """
+    A refusal by which a target asks a VM for a pause.
+
+    :ivar refusal: the head of the answer.
+    :ivar seconds: length of the pause from then on.
+    """
+
+    refusal: TargetEvent
+    seconds: float
+
+
 @dataclasses.dataclass(slots=True)
 class TargetRecord:
     """
@@ -27,10 +41,12 @@
 
     :ivar arrivals: requests that reached a target, also refused ones.
     :ivar farewells: answers by which a target said that it leaves.
+    :ivar pauses: answers by which a target asked for a pause.
     """
 
     arrivals: list[TargetEvent] = dataclasses.field(default_factory=list)
     farewells: list[TargetEvent] = dataclasses.field(default_factory=list)
+    pauses: list[Pause] = dataclasses.field(default_factory=list)
 
 
 class RecordedTarget(PlatformTarget):
@@ -57,11 +73,15 @@
         """Return the headers of an answer, and record what they say."""
         if behaviour.leaving:
             self._record.farewells.append(self._event(request_id))
-        return super()._announcements(behaviour, request_id)
+        headers = super()._announcements(behaviour, request_id)
+        with contextlib.suppress(KeyError, ValueError):
+            seconds = float(dict(headers)['retry-after'])
+            self._record.pauses.append(Pause(self._event(request_id), seconds))
+        return headers
 
     def _event(self, request_id: str) -> TargetEvent:
         """Return what happens to a request now."""
         return TargetEvent(time.monotonic(), self.target_id, request_id)
 
 
-__all__ = ('RecordedTarget', 'TargetEvent', 'TargetRecord')
+__all__ = ('Pause', 'RecordedTarget', 'TargetEvent', 'TargetRecord')
--- a/tests/announcement_case.py
+++ b/tests/announcement_case.py
@@ -22,6 +22,8 @@
 EVENTS = 3
 SUBJECTS = 40
 OK_STATUS = 200
+# Time from a refusal in which arrivals don't count yet.
+TOLD_S = 0.5
 
 # VM and target.
 Pair = tuple[str, str]
@@ -124,6 +126,27 @@
                 late[pair] += 1
         return dict(late)
 
+    def arrivals_in_pauses(self) -> list[int]:
+        """
+        Return for each pause how many requests of its VM reached the target.
+
+        Counted from some time after the refusal, in which it reaches the VM.
+        """
+        arrivals: dict[Pair, list[float]] = collections.defaultdict(list)
+        for arrival in self.record.arrivals:
+            vm, _ = self.sent[arrival.request_id]
+            arrivals[vm, arrival.target_id].append(arrival.at)
+        return [
+            sum(
+                refusal.at + TOLD_S < at < refusal.at + pause.seconds
+                for at in arrivals[
+                    self.sent[refusal.request_id][0], refusal.target_id
+                ]
+            )
+            for pause in self.record.pauses
+            for refusal in (pause.refusal,)
+        ]
+
     def served_share(self, since: float, until: float | None = None) -> float:
         """Return the served share of the requests sent in a period."""
         chosen = [
