Log when a target asks for a pause

Retry-After of an answer 503 is read and logged, and nothing follows from it yet. Without the line a refusal with a pause looks like one without.

--- a/fuchsiafork/gateway/target_announcements.py
+++ b/fuchsiafork/gateway/target_announcements.py
@@ -34,6 +34,13 @@
     def record(self, target: Target, metadata: ResponseMetadata) -> None:
         """Record what the head of an answer says of its target."""
         self._limits.record_answer(target, metadata)
+        if metadata.pause_s is not None:
+            self._log.info(
+                'target_asked_for_pause',
+                target=target.lifetime,
+                seconds=metadata.pause_s,
+                request_id=metadata.request_id,
+            )
         if metadata.leaving:
             self._record_leaving(target, metadata.request_id)
 
--- a/fuchsiafork/gateway/target_call.py
+++ b/fuchsiafork/gateway/target_call.py
@@ -168,7 +168,7 @@
             self._answered = True
             self._first_byte_at = self._clock.now()
             pairs = wire.decode_headers(event.headers)
-            metadata = wire.parse_response_headers(pairs)
+            metadata = wire.parse_response_headers(pairs, event.status_code)
             if self._announced_leaving:
                 metadata = dataclasses.replace(metadata, leaving=True)
             head = AnswerHead(event.status_code, pairs, metadata)
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -10,6 +10,8 @@
 # Largest number of tokens that a request may name.
 MAX_TOKENS = 1_000_000_000
 
+_OK = 200
+_UNAVAILABLE = 503
 _MS_PER_S = 1000
 _EMPTY = ''
 _DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
@@ -69,6 +71,9 @@
     :ivar encoded: whether an intermediary encoded the body.
     :ivar keep_alive: value of the ``keep-alive`` header.
     :ivar leaving: whether the target states that it leaves.
+    :ivar pause_s: seconds for which the target wants nothing more from this
+        VM, None if it asks for no pause.
+    :ivar invalid_pause: a time that is no number of seconds, empty otherwise.
     :ivar rate_limit: requests a second that the target accepts from all VMs
         together, None if it names no limit.
     :ivar invalid_rate_limit: a limit that is no number, empty otherwise.
@@ -80,6 +85,8 @@
     encoded: bool
     keep_alive: str
     leaving: bool = False
+    pause_s: float | None = None
+    invalid_pause: str = _EMPTY
     rate_limit: float | None = None
     invalid_rate_limit: str = _EMPTY
 
@@ -130,12 +137,20 @@
     return sent
 
 
-def parse_response_headers(headers: HeaderPairs) -> ResponseMetadata:
-    """Parse the headers of a response."""
+def parse_response_headers(
+    headers: HeaderPairs, status: int = _OK
+) -> ResponseMetadata:
+    """
+    Parse the headers of a response.
+
+    :param status: its status; a target asks for a pause with 503 only.
+    """
     values = dict(headers)
     encoding = values.get('content-encoding', 'identity')
     limit = values.get(names.RATE_LIMIT, _EMPTY).strip()
-    limit_valid = _DECIMAL.fullmatch(limit) is not None
+    pause = _EMPTY
+    if status == _UNAVAILABLE:
+        pause = values.get(names.RETRY_AFTER, _EMPTY).strip()
     return ResponseMetadata(
         request_id=values.get(names.REQUEST_ID, _EMPTY),
         not_run=names.NOT_RUN in values,
@@ -144,8 +159,10 @@
         keep_alive=values.get('keep-alive', _EMPTY),
         leaving=values.get(names.TARGET_LEAVING, _EMPTY).strip()
         == names.LEAVING,
-        rate_limit=float(limit) if limit_valid else None,
-        invalid_rate_limit=_EMPTY if limit_valid else limit,
+        pause_s=_decimal(pause),
+        invalid_pause=_invalid_decimal(pause),
+        rate_limit=_decimal(limit),
+        invalid_rate_limit=_invalid_decimal(limit),
     )
 
 
@@ -190,6 +207,16 @@
     return _HOP_HEADERS | named_headers
 
 
+def _decimal(text: str) -> float | None:
+    """Return a decimal number, None if it isn't one."""
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
+def _invalid_decimal(text: str) -> str:
+    """Return a text that is no decimal number, empty if it is one."""
+    return _EMPTY if _DECIMAL.fullmatch(text) else text
+
+
 def _bearer_key(authorization: str) -> str:
     """Return the key of an authorization header, empty if not a bearer key."""
     scheme, _, key = authorization.partition(' ')
