Show requests that reach targets in the pauses that they asked for

Counted for each pause, by what callers and targets see; and on each way to a target. The tests of the ways are the same for both statements, so that they stand in a class which the second one inherits; none is changed.

--- a/tests/test_ways_to_targets.py
+++ b/tests/test_ways_to_targets.py
@@ -15,23 +15,28 @@
 LEAVING = [('server-leaving', '1')]
 
 
-class TestWays(GatewayCase):
-    """A target leaves after it was chosen, or after an attempt began."""
+class WaysCase(GatewayCase):
+    """
+    A target takes no more requests after it was chosen.
+
+    :ivar statement: what its answer says.
+    """
+
+    statement = parse_response_headers(LEAVING)
 
     def announce(self, *targets: PlatformTarget) -> None:
-        """Let the gateway have an answer by which targets leave."""
+        """Let the gateway have an answer with the statement of targets."""
         shared = self.gateway._shared
         for target in targets:
             state = shared.targets.get(target.target_id)
             self.assertIsNotNone(state)
             if state is not None:
-                metadata = parse_response_headers(LEAVING)
-                shared.announcements.record(state.target, metadata)
+                shared.announcements.record(state.target, self.statement)
 
     def announce_at(
         self, owner: object, name: str, *targets: PlatformTarget
     ) -> Any:
-        """Return a patch by which targets leave while a call waits."""
+        """Return a patch by which targets say it while a call waits."""
         original = getattr(owner, name)
 
         async def call(*args: Any, **kwargs: Any) -> Any:
@@ -41,6 +46,25 @@
 
         return unittest.mock.patch.object(owner, name, call)
 
+    async def keep_connections(self) -> None:
+        """Leave a kept connection to each plain target."""
+        for target in self.plain:
+            target.behaviour = Behaviour(delay_s=0.05)
+        await asyncio.gather(
+            *(
+                self.call('/look/1', request_id=f'before-{number}')
+                for number in range(4)
+            )
+        )
+
+    def assert_no_arrivals(self, targets: list[PlatformTarget]) -> None:
+        """Check that no request has reached targets."""
+        self.assertEqual([target.arrivals for target in targets], [0, 0])
+
+
+class TestWays(WaysCase):
+    """A target says that it leaves."""
+
     async def test_first_try(self) -> None:
         """Guards against a word that only later answers are compared with."""
         self.announce(self.plain[0])
@@ -131,6 +155,16 @@
         self.assertEqual({reply.status for reply in replies}, {200})
         self.assertEqual(self.plain[0].arrivals, 0)
 
+
+class TestWaysToPausedTargets(TestWays):
+    """A target wants nothing for a minute."""
+
+    statement = parse_response_headers([('retry-after', '60')], 503)
+
+
+class TestLeaving(WaysCase):
+    """What else follows once a target leaves."""
+
     async def test_connections_are_closed_once_idle(self) -> None:
         """Guards against connections that keep a target from its end."""
         await self.keep_connections()
@@ -152,21 +186,6 @@
         self.assertEqual(reply.status, 200)
         self.assertNotIn('server-leaving', reply.headers)
 
-    async def keep_connections(self) -> None:
-        """Leave a kept connection to each plain target."""
-        for target in self.plain:
-            target.behaviour = Behaviour(delay_s=0.05)
-        await asyncio.gather(
-            *(
-                self.call('/look/1', request_id=f'before-{number}')
-                for number in range(4)
-            )
-        )
-
-    def assert_no_arrivals(self, targets: list[PlatformTarget]) -> None:
-        """Check that no request has reached targets."""
-        self.assertEqual([target.arrivals for target in targets], [0, 0])
-
 
 class TestWordsOfOthers(GatewayCase):
     """Answers that say nothing of the target that was meant."""
