Leave targets alone for the time that they ask for

The cause: the time wasn't read, and a target that refuses has the least in flight, which draws requests to it.

The record of a target now keeps the latest end of the pauses it asked this VM for, so that the gate and the check before sending heed it on all ways. After the pause one request at a time tries the target until one is answered. Where all that are left pause, requests are refused at once with 2210, and Retry-After is the earliest end or later.

--- a/fuchsiafork/availability/record.py
+++ b/fuchsiafork/availability/record.py
@@ -2,6 +2,7 @@
 
 import math
 
+from fuchsiafork.availability.pause import RequestedPause
 from fuchsiafork.availability.status import Availability, Source, Status
 
 # A target that can't be connected to, that stops sending during an answer or
@@ -18,8 +19,9 @@
     """
     Statements on one start of a target; the first that holds decides.
 
-    Its entry was removed; it leaves, as its entry or an answer says; it is
-    avoided after a failure. docs/design.md, section 7, has the whole table.
+    Its entry was removed; it leaves, as its entry or an answer says; it asked
+    for a pause, or is avoided after a failure. docs/platform.md, section 4,
+    has the whole table.
 
     :ivar backoff_until: end of the backoff after a failure, seconds.
     """
@@ -37,6 +39,7 @@
         self.backoff_until = -math.inf
         self._backoff_since = -math.inf
         self._backoff_count = 0
+        self._pause = RequestedPause()
 
     @property
     def leaving(self) -> bool:
@@ -44,9 +47,13 @@
         return self._leaving is not None
 
     @property
-    def outlasts_entry(self) -> bool:
-        """Whether the record must be kept once the entry is removed."""
-        return self._start_known and self.leaving
+    def gone(self) -> bool:
+        """Whether the entry was removed or replaced."""
+        return self._gone_since is not None
+
+    def outlasts_entry(self, now: float) -> bool:
+        """Return whether the record must be kept without the entry."""
+        return self._start_known and (self.leaving or now < self._pause.until)
 
     def status(self, now: float) -> Status:
         """Return the state of the target."""
@@ -54,14 +61,7 @@
             return Status(Availability.GONE, Source.REGISTRY, self._gone_since)
         if self._leaving is not None:
             return self._leaving
-        if now < self.backoff_until:
-            return Status(
-                Availability.PAUSED,
-                Source.CONNECTION,
-                self._backoff_since,
-                self.backoff_until,
-            )
-        return _ACCEPTING
+        return self._pause_status(now)
 
     def record_entry(self, now: float, *, leaving: bool) -> None:
         """
@@ -88,6 +88,18 @@
         self._leave(Source.ANSWER, now)
         return news
 
+    def request_pause(self, now: float, seconds: float) -> None:
+        """Record a refusal by which the target asked for a pause."""
+        self._pause.ask(now, seconds)
+
+    def on_request(self, now: float) -> None:
+        """Record that a request is sent to the target now."""
+        self._pause.on_request(now)
+
+    def on_answer(self, now: float) -> None:
+        """Record an answer that is no refusal."""
+        self._pause.on_answer(now)
+
     def back_off(self, now: float) -> None:
         """Start a backoff after a failure unless one is in progress."""
         if now < self.backoff_until:
@@ -103,6 +115,18 @@
         """Let the next backoff be the initial one."""
         self._backoff_count = 0
 
+    def _pause_status(self, now: float) -> Status:
+        """Return the longer pause, or that the target takes requests."""
+        pause_ends_at = self._pause.ends_at()
+        if now >= max(pause_ends_at, self.backoff_until):
+            return _ACCEPTING
+        if pause_ends_at >= self.backoff_until:
+            source, since = Source.REFUSAL, self._pause.since
+        else:
+            source, since = Source.CONNECTION, self._backoff_since
+        until = max(pause_ends_at, self.backoff_until)
+        return Status(Availability.PAUSED, source, since, until)
+
     def _leave(self, source: Source, now: float) -> None:
         """Record that the target leaves, unless that is known."""
         if self._leaving is None:
--- a/fuchsiafork/availability/status.py
+++ b/fuchsiafork/availability/status.py
@@ -24,6 +24,7 @@
 
     REGISTRY = 'registry'
     ANSWER = 'answer'
+    REFUSAL = 'refusal'
     CONNECTION = 'connection'
     LIMIT = 'limit'
 
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -269,7 +269,12 @@
         target_limits=limits,
         target_gate=TargetGate(targets, limits, clock),
         announcements=TargetAnnouncements(
-            targets, limits, dependencies.pool, clock, log
+            targets,
+            limits,
+            dependencies.pool,
+            clock,
+            dependencies.metrics,
+            log,
         ),
     )
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -59,6 +59,11 @@
             'requests once they were ready.',
             registry=self.registry,
         )
+        self.target_pauses = prom.Counter(
+            'fuchsiafork_gateway_target_pauses',
+            'Refusals by which targets asked this VM for a pause.',
+            registry=self.registry,
+        )
         self.unavailable_targets = prom.Gauge(
             'fuchsiafork_gateway_unavailable_targets',
             'Targets that get no requests, by service, state and source.',
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -1,5 +1,7 @@
 """Sends one request to one target after another until it is served."""
 
+import operator
+
 from fuchsiafork.availability import Source
 from fuchsiafork.gateway.answer_relay import AnswerRelay, Failure
 from fuchsiafork.gateway.configuration import Route
@@ -14,12 +16,18 @@
     FuchsiaforkError,
     NoTargetError,
     TargetsLimitedError,
+    TargetsPausedError,
 )
 from fuchsiafork.quarantine import Probe
 
 # Shortest time after which a caller that was refused a permit may return.
 MIN_RETRY_AFTER_S = 0.1
 
+_PAUSE_ERRORS: dict[Source, type[FuchsiaforkError]] = {
+    Source.LIMIT: TargetsLimitedError,
+    Source.REFUSAL: TargetsPausedError,
+}
+
 
 class RequestAttempts:
     """Runs the attempts of one request."""
@@ -115,16 +123,24 @@
     def _no_target_error(self) -> FuchsiaforkError:
         """Return the error for a request that was sent to no target."""
         service = self._record.service
-        pauses = self._shared.target_gate.pauses(service, self._priority)
-        ends = [pause.until for pause in pauses if pause.source is Source.LIMIT]
-        if ends:
-            wait_s = min(ends) - self._shared.clock.now()
-            return TargetsLimitedError(
-                f'{len(ends)} targets of service {service!r} accept no more '
-                'requests for now',
-                retry_after=max(MIN_RETRY_AFTER_S, wait_s),
+        pauses = [
+            pause
+            for pause in self._shared.target_gate.pauses(
+                service, self._priority
             )
-        return NoTargetError(f'no target of service {service!r} is available')
+            if pause.source in _PAUSE_ERRORS
+        ]
+        if not pauses:
+            return NoTargetError(
+                f'no target of service {service!r} is available'
+            )
+        first = min(pauses, key=operator.attrgetter('until'))
+        wait_s = first.until - self._shared.clock.now()
+        return _PAUSE_ERRORS[first.source](
+            f'{len(pauses)} targets of service {service!r} accept no more '
+            'requests for now',
+            retry_after=max(MIN_RETRY_AFTER_S, wait_s),
+        )
 
     async def _admit(self, state: TargetState) -> None:
         """
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -17,6 +17,7 @@
     QuarantinedError,
     RouteNotFoundError,
     RunState,
+    TargetsPausedError,
     TargetTimeoutError,
     UnauthorizedError,
     UnexpectedError,
@@ -29,6 +30,10 @@
 
 # Default Retry-After of a refusal with status 503.
 RETRY_AFTER_S = 0.4
+# Multiples of that time between which callers return.
+SPREAD = (0.7, 1.3)
+# The same if nothing can be served before the time.
+LATER_SPREAD = (1.0, 1.6)
 # Upper limit of Retry-After, as a fraction of the time until the deadline.
 MAX_RETRY_AFTER_FRACTION = 0.3
 
@@ -280,16 +285,25 @@
         # A time beyond the deadline tells the caller not to ask again.
         final = isinstance(error, QuarantinedError) and error.final
         if error.status == _UNAVAILABLE and not final:
-            retry_after = self._spread_retry_after(retry_after)
+            earliest = isinstance(error, TargetsPausedError)
+            retry_after = self._spread_retry_after(
+                retry_after, LATER_SPREAD if earliest else SPREAD
+            )
         request_id = self._record.request_id
         headers = wire.refusal_headers(request_id, retry_after)
         body = refusal_body(request_id, error)
         self._caller.answer(error.status, headers, body)
 
-    def _spread_retry_after(self, suggested_s: float | None) -> float:
-        """Return Retry-After in seconds, with random jitter."""
+    def _spread_retry_after(
+        self, suggested_s: float | None, factors: tuple[float, float]
+    ) -> float:
+        """
+        Return Retry-After in seconds, with random jitter.
+
+        :param factors: smallest and largest multiple of the suggested time.
+        """
         seconds = RETRY_AFTER_S if suggested_s is None else suggested_s
-        spread = seconds * self._shared.rng.uniform(0.7, 1.3)
+        spread = seconds * self._shared.rng.uniform(*factors)
         return min(spread, MAX_RETRY_AFTER_FRACTION * self._remaining())
 
     def _log_answered(self) -> None:
--- a/fuchsiafork/gateway/target_announcements.py
+++ b/fuchsiafork/gateway/target_announcements.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.target_limits import TargetLimits
 from fuchsiafork.gateway.targets import Target, TargetTable
 from fuchsiafork.kernel import Clock
@@ -18,6 +19,7 @@
         limits: TargetLimits,
         pool: ConnectionPool,
         clock: Clock,
+        metrics: GatewayMetrics,
         log: Any,
     ) -> None:
         """
@@ -29,20 +31,37 @@
         self._limits = limits
         self._pool = pool
         self._clock = clock
+        self._metrics = metrics
         self._log = log
 
     def record(self, target: Target, metadata: ResponseMetadata) -> None:
         """Record what the head of an answer says of its target."""
         self._limits.record_answer(target, metadata)
-        if metadata.pause_s is not None:
-            self._log.info(
-                'target_asked_for_pause',
-                target=target.lifetime,
-                seconds=metadata.pause_s,
-                request_id=metadata.request_id,
-            )
         if metadata.leaving:
             self._record_leaving(target, metadata.request_id)
+        if metadata.invalid_pause:
+            self._log.warning(
+                'pause_invalid',
+                target=target.lifetime,
+                value=repr(metadata.invalid_pause),
+            )
+        elif metadata.pause_s:
+            self._record_pause(target, metadata.pause_s, metadata.request_id)
+        elif not metadata.not_run:
+            self._targets.record_answer(target, self._clock.now())
+
+    def _record_pause(
+        self, target: Target, seconds: float, request_id: str
+    ) -> None:
+        """Record that a target wants nothing for some time."""
+        self._targets.request_pause(target, seconds, self._clock.now())
+        self._metrics.target_pauses.inc()
+        self._log.info(
+            'target_asked_for_pause',
+            target=target.lifetime,
+            seconds=seconds,
+            request_id=request_id,
+        )
 
     def _record_leaving(self, target: Target, request_id: str) -> None:
         """Record that a target leaves."""
--- a/fuchsiafork/gateway/target_call.py
+++ b/fuchsiafork/gateway/target_call.py
@@ -135,14 +135,13 @@
         )
         if not self._connection.open:
             raise ConnectError(f'{address} closed the new connection')
-        status = self.state.availability.status(self._clock.now())
-        if not status.accepting:
-            raise TargetWithdrawnError(status)
+        self._require_accepting()
         self._reused = self._connection.used
         if request.body:
             length = ('content-length', str(len(request.body)))
             headers = [*headers, length]
         self.sent = True
+        self.state.availability.on_request(self._clock.now())
         self._connection.send(
             h11.Request(
                 method=request.method,
@@ -211,6 +210,16 @@
             self._pool.release(self.state.target.address, self._connection)
             self._connection = None
 
+    def _require_accepting(self) -> None:
+        """
+        Check that the target still takes requests.
+
+        :raises TargetWithdrawnError: if it doesn't.
+        """
+        status = self.state.availability.status(self._clock.now())
+        if not status.accepting:
+            raise TargetWithdrawnError(status)
+
     def _require_connection(self) -> ClientConnection:
         """Return the connection on which the request was sent."""
         if self._connection is None:
--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -146,11 +146,13 @@
         self._states.pop(state.target.target_id)
         record = state.availability
         record.record_removal(now)
-        self._keep_record(state.target, record)
+        self._keep_record(state.target, record, now)
 
-    def _keep_record(self, target: Target, record: AvailabilityRecord) -> None:
+    def _keep_record(
+        self, target: Target, record: AvailabilityRecord, now: float
+    ) -> None:
         """Keep the record of a removed target if its entry may come back."""
-        if record.outlasts_entry:
+        if record.gone and record.outlasts_entry(now):
             self._former[target.lifetime] = record
         if len(self._former) > MAX_FORMER_RECORDS:
             self._former.popitem(last=False)
@@ -177,19 +179,36 @@
         """
         Record an answer that says that a target leaves.
 
-        Its entry may have been removed meanwhile, and may come back with a
-        copy of the store.
-
         :returns: whether it is news.
         """
+        record = self._record_of(target, now)
+        news = record.announce_leaving(now)
+        self._keep_record(target, record, now)
+        return news
+
+    def request_pause(self, target: Target, seconds: float, now: float) -> None:
+        """Record a refusal by which a target asked for a pause."""
+        record = self._record_of(target, now)
+        record.request_pause(now, seconds)
+        self._keep_record(target, record, now)
+
+    def record_answer(self, target: Target, now: float) -> None:
+        """Record an answer that is no refusal."""
+        self._record_of(target, now).on_answer(now)
+
+    def _record_of(self, target: Target, now: float) -> AvailabilityRecord:
+        """
+        Return the record of one start of a target.
+
+        Its entry may have been removed since a request was sent there, and may
+        come back with a copy of the store.
+        """
         state = self._states.get(target.target_id)
         if state is not None and _is_same_start(state.target, target):
-            return state.availability.announce_leaving(now)
+            return state.availability
         record = self._former.get(target.lifetime) or _make_record(target)
-        news = record.announce_leaving(now)
         record.record_removal(now)
-        self._keep_record(target, record)
-        return news
+        return record
 
 
 def _is_same_start(first: Target, second: Target) -> bool:
--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -300,6 +300,14 @@
     retry_safe = True
 
 
+class TargetsPausedError(FuchsiaforkError):
+    """The targets that are left have asked this VM for a pause."""
+
+    code = 2210
+    status = 503
+    retry_safe = True
+
+
 class TargetFailedError(FuchsiaforkError):
     """The target failed after it received the request."""
 
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -9,12 +9,16 @@
 
 # Largest number of tokens that a request may name.
 MAX_TOKENS = 1_000_000_000
+# Longest pause of a target; longer ones are kept for this long.
+MAX_PAUSE_S = 1e9
 
 _OK = 200
 _UNAVAILABLE = 503
 _MS_PER_S = 1000
 _EMPTY = ''
 _DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
+# Of any length: a pause that is longer than the target lives is one as well.
+_SECONDS = re.compile(r'[0-9]+(\.[0-9]*)?')
 # Headers that apply to a single connection, and headers that are set again for
 # the next one.
 _HOP_HEADERS = frozenset((
@@ -151,6 +155,8 @@
     pause = _EMPTY
     if status == _UNAVAILABLE:
         pause = values.get(names.RETRY_AFTER, _EMPTY).strip()
+    limit_valid = _DECIMAL.fullmatch(limit) is not None
+    pause_valid = _SECONDS.fullmatch(pause) is not None
     return ResponseMetadata(
         request_id=values.get(names.REQUEST_ID, _EMPTY),
         not_run=names.NOT_RUN in values,
@@ -159,10 +165,10 @@
         keep_alive=values.get('keep-alive', _EMPTY),
         leaving=values.get(names.TARGET_LEAVING, _EMPTY).strip()
         == names.LEAVING,
-        pause_s=_decimal(pause),
-        invalid_pause=_invalid_decimal(pause),
-        rate_limit=_decimal(limit),
-        invalid_rate_limit=_invalid_decimal(limit),
+        pause_s=min(float(pause), MAX_PAUSE_S) if pause_valid else None,
+        invalid_pause=_EMPTY if pause_valid else pause,
+        rate_limit=float(limit) if limit_valid else None,
+        invalid_rate_limit=_EMPTY if limit_valid else limit,
     )
 
 
@@ -207,16 +213,6 @@
     return _HOP_HEADERS | named_headers
 
 
-def _decimal(text: str) -> float | None:
-    """Return a decimal number, None if it isn't one."""
-    return float(text) if _DECIMAL.fullmatch(text) else None
-
-
-def _invalid_decimal(text: str) -> str:
-    """Return a text that is no decimal number, empty if it is one."""
-    return _EMPTY if _DECIMAL.fullmatch(text) else text
-
-
 def _bearer_key(authorization: str) -> str:
     """Return the key of an authorization header, empty if not a bearer key."""
     scheme, _, key = authorization.partition(' ')
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -5,11 +5,13 @@
 
 from fuchsiafork.availability import (
     INITIAL_BACKOFF_S,
+    TRIAL_S,
     Availability,
     AvailabilityRecord,
     Source,
 )
 from fuchsiafork.gateway.targets import Target, TargetTable
+from fuchsiafork.platform.headers import MAX_PAUSE_S, parse_response_headers
 
 FIRST = Target('t', 's', '10.0.0.1:80', 'a', 'v1', 1, started_unix_ms=1000)
 SECOND = dataclasses.replace(FIRST, started_unix_ms=2000)
@@ -46,6 +48,8 @@
         self.assertEqual(self.state(), (ACCEPTING, Source.REGISTRY))
         self.record.back_off(0.0)
         self.assertEqual(self.state(), (Availability.PAUSED, Source.CONNECTION))
+        self.record.request_pause(0.0, 5.0)
+        self.assertEqual(self.state(), (Availability.PAUSED, Source.REFUSAL))
         self.record.announce_leaving(0.0)
         self.assertEqual(self.state(), (LEAVING, Source.ANSWER))
         self.record.record_removal(0.0)
@@ -55,6 +59,7 @@
         """Guards against a state that depends on the order of statements."""
         self.record.record_removal(0.0)
         self.record.announce_leaving(0.0)
+        self.record.request_pause(0.0, 5.0)
         self.record.back_off(0.0)
         self.assertEqual(self.state(), (Availability.GONE, Source.REGISTRY))
         self.record.record_entry(0.0, leaving=False)
@@ -67,6 +72,13 @@
             self.state(INITIAL_BACKOFF_S), (ACCEPTING, Source.REGISTRY)
         )
 
+    def test_longer_pause_decides(self) -> None:
+        """Guards against a short backoff that ends a long pause."""
+        self.record.back_off(0.0)
+        self.record.request_pause(0.0, INITIAL_BACKOFF_S / 2)
+        self.assertEqual(self.state(), (Availability.PAUSED, Source.CONNECTION))
+        self.assertEqual(self.record.status(0.0).until, INITIAL_BACKOFF_S)
+
     def test_first_word_is_kept(self) -> None:
         """Guards against a time and a source that change with each answer."""
         self.assertTrue(self.record.announce_leaving(1.0))
@@ -153,3 +165,100 @@
         self.assertIs(availability(table), LEAVING)
         table.upsert(FIRST, 1.0)
         self.assertIs(availability(table), LEAVING)
+
+
+class TestRequestedPause(unittest.TestCase):
+    """The pause that a target asked for."""
+
+    def setUp(self) -> None:
+        """Start with a pause of four seconds."""
+        self.record = AvailabilityRecord()
+        self.record.request_pause(10.0, 4.0)
+
+    def accepting(self, now: float) -> bool:
+        """Return whether the target takes requests."""
+        return self.record.status(now).accepting
+
+    def test_it_holds_to_its_end(self) -> None:
+        """Guards against a request within the pause."""
+        self.assertFalse(self.accepting(13.99))
+        self.assertTrue(self.accepting(14.0))
+        status = self.record.status(12.0)
+        self.assertEqual((status.since, status.until), (10.0, 14.0))
+
+    def test_latest_end_counts(self) -> None:
+        """Guards against a shorter pause, or an older one, that ends it."""
+        self.record.request_pause(10.1, 1.0)
+        self.assertFalse(self.accepting(13.99))
+        self.record.request_pause(12.0, 4.0)
+        self.assertFalse(self.accepting(15.99))
+        self.assertEqual(self.record.status(15.0).since, 10.0)
+
+    def test_answer_to_an_earlier_request_does_not_end_it(self) -> None:
+        """Guards against requests in flight that are served meanwhile."""
+        self.record.on_answer(11.0)
+        self.assertFalse(self.accepting(13.99))
+
+    def test_one_request_tries_the_target_afterwards(self) -> None:
+        """Guards against all that waited, at the first instant."""
+        self.record.on_request(14.0)
+        self.assertFalse(self.accepting(14.1))
+        self.record.on_answer(14.2)
+        self.assertTrue(self.accepting(14.2))
+        self.record.on_request(14.2)
+        self.assertTrue(self.accepting(14.2))
+
+    def test_unanswered_trial_is_followed_by_another(self) -> None:
+        """Guards against a target that is lost with one request."""
+        self.record.on_request(14.0)
+        self.assertTrue(self.accepting(14.0 + TRIAL_S))
+        self.record.on_request(14.0 + TRIAL_S)
+        self.assertFalse(self.accepting(14.1 + TRIAL_S))
+
+    def test_refused_trial_starts_the_next_pause(self) -> None:
+        """Guards against a pause that is counted from the first refusal."""
+        self.record.on_request(14.0)
+        self.record.request_pause(14.1, 2.0)
+        self.assertFalse(self.accepting(16.0))
+        self.assertEqual(self.record.status(15.0).since, 14.1)
+
+    def test_it_outlasts_the_entry_but_not_the_start(self) -> None:
+        """Guards against an hour that is forgotten, or that never ends."""
+        table = TargetTable()
+        table.upsert(FIRST, 0.0)
+        table.request_pause(FIRST, 3600.0, 1.0)
+        table.remove('t', 2.0)
+        table.upsert(FIRST, 3.0)
+        self.assertIs(availability(table), Availability.PAUSED)
+        table.upsert(SECOND, 4.0)
+        self.assertIs(availability(table), ACCEPTING)
+
+
+class TestPauseHeader(unittest.TestCase):
+    """The header by which a target asks for a pause."""
+
+    def test_seconds(self) -> None:
+        """Guards against times that are not understood."""
+        for text, seconds in (
+            ('1.5', 1.5),
+            ('0', 0),
+            (' 3600 ', 3600),
+            ('9' * 400, MAX_PAUSE_S),
+        ):
+            metadata = parse_response_headers([('retry-after', text)], 503)
+            self.assertEqual(metadata.pause_s, seconds)
+            self.assertEqual(metadata.invalid_pause, '')
+
+    def test_other_values_are_reported(self) -> None:
+        """Guards against a value that ends a request, or that is a pause."""
+        date = 'Wed, 21 Oct 2026 07:28:00 GMT'
+        for text in ('-5', 'nan', 'inf', '1e3', 'soon', '1,5', '0x1', date):
+            metadata = parse_response_headers([('retry-after', text)], 503)
+            self.assertIsNone(metadata.pause_s)
+            self.assertEqual(metadata.invalid_pause, text)
+
+    def test_other_statuses_ask_for_none(self) -> None:
+        """Guards against a target that is left alone after an error."""
+        for status in (200, 301, 429, 500):
+            metadata = parse_response_headers([('retry-after', '5')], status)
+            self.assertIsNone(metadata.pause_s)
