--- a/fuchsiafork/gateway/rollouts.py
+++ b/fuchsiafork/gateway/rollouts.py
@@ -128,30 +128,10 @@
         :param sample: random number of the request, from 0 to 1.
         :param accepts: whether a target takes the request now.
         """
-        assigned = self._assigned_targets(service, states, sample, accepts)
-        return [state for state in assigned if accepts(state)]
-
-    def _assigned_targets(
-        self,
-        service: str,
-        states: list[TargetState],
-        sample: float,
-        accepts: Callable[[TargetState], bool],
-    ) -> list[TargetState]:
-        """Return the assigned targets; see eligible_targets()."""
         canary = self._canaries.get(service)
-        if canary is None:
-            return states
-        version = canary.order.version
-        new = [state for state in states if state.target.version == version]
-        old = [state for state in states if state.target.version != version]
-        if canary.verdict is Verdict.BAD:
-            return old
-        if canary.verdict is Verdict.GOOD:
-            return new or old
-        if sample < canary.traffic_share() and any(map(accepts, new)):
-            return new
-        return old
+        if canary is not None:
+            states = _assigned_targets(canary, states, sample, accepts)
+        return [state for state in states if accepts(state)]
 
     def record_answer(
         self,
@@ -234,6 +214,25 @@
             )
 
 
+def _assigned_targets(
+    canary: Canary,
+    states: list[TargetState],
+    sample: float,
+    accepts: Callable[[TargetState], bool],
+) -> list[TargetState]:
+    """Return the targets of the version that a request is assigned to."""
+    version = canary.order.version
+    new = [state for state in states if state.target.version == version]
+    old = [state for state in states if state.target.version != version]
+    if canary.verdict is Verdict.BAD:
+        return old
+    if canary.verdict is Verdict.GOOD:
+        return new or old
+    if sample < canary.traffic_share() and any(map(accepts, new)):
+        return new
+    return old
+
+
 def _record_key(canary: Canary) -> str:
     """Return the store key of a canary's shared record."""
     order = canary.order
