Check that a request whose target changed is sent elsewhere at no cost

A request that waited for a connection goes to another target, also on a route that allows one target only, and answers of five statuses tell that a target leaves.

--- a/tests/test_ways_to_targets.py
+++ b/tests/test_ways_to_targets.py
@@ -96,6 +96,26 @@
         self.assertEqual(reply.status, 503)
         self.assert_no_arrivals(self.plain)
 
+    async def test_another_target_gets_the_request(self) -> None:
+        """Guards against an attempt that counts though it was not sent."""
+        pool = self.gateway._shared.pool
+        original = pool.acquire_for
+        left: list[str] = []
+
+        async def acquire_for(address: str, *args: Any, **kwargs: Any) -> Any:
+            if not left:
+                left.append(address)
+                self.announce(*(t for t in self.plain if t.address == address))
+            return await original(address, *args, **kwargs)
+
+        with unittest.mock.patch.object(pool, 'acquire_for', acquire_for):
+            # The route allows one target.
+            reply = await self.call('/order/1')
+        self.assertEqual(reply.status, 200)
+        arrivals = {target.address: target.arrivals for target in self.plain}
+        self.assertEqual(arrivals.pop(left[0]), 0)
+        self.assertEqual(list(arrivals.values()), [1])
+
     async def test_wait_for_a_retry(self) -> None:
         """Guards against a repeat at a target that left meanwhile."""
         for target in self.plain:
@@ -165,6 +185,30 @@
 class TestLeaving(WaysCase):
     """What else follows once a target leaves."""
 
+    async def test_answers_of_all_kinds_tell(self) -> None:
+        """Guards against reading the header of some answers only."""
+        target = self.plain[0]
+        self.announce(self.plain[1])
+        for born, status in enumerate((200, 302, 404, 429, 500), start=1000):
+            self.site.register(target, born=born)
+            await self._wait_for_start(target, born)
+            target.behaviour = Behaviour(status=status, leaving=True)
+            arrivals = target.arrivals
+            for number in range(2):
+                await self.call('/open/1', request_id=f'{born}-{number}')
+            with self.subTest(status=status):
+                self.assertEqual(target.arrivals, arrivals + 1)
+
+    async def _wait_for_start(self, target: PlatformTarget, born: int) -> None:
+        """Wait until the gateway knows of a start of a target."""
+        table = self.gateway._shared.targets
+
+        def is_known() -> bool:
+            state = table.get(target.target_id)
+            return state is not None and state.target.started_unix_ms == born
+
+        await self.eventually(is_known)
+
     async def test_connections_are_closed_once_idle(self) -> None:
         """Guards against connections that keep a target from its end."""
         await self.keep_connections()
