--- a/fuchsiafork/availability/pause.py
+++ b/fuchsiafork/availability/pause.py
@@ -15,6 +15,7 @@
     that what waited for it doesn't come at once.
 
     :ivar until: end of the pause, seconds.
+    :ivar ends_at: end of the pause or of the trial, seconds.
     """
 
     def __init__(self) -> None:
@@ -22,35 +23,31 @@
         self.until = -math.inf
         self._since = -math.inf
         self._on_trial = False
-        self._trial_until = -math.inf
+        self.ends_at = -math.inf
 
     @property
     def since(self) -> float:
         """Time at which the target asked for it first, seconds."""
         return self._since
 
-    def ends_at(self) -> float:
-        """Return the time from which the target gets a request, seconds."""
-        return max(self.until, self._trial_until)
-
     def ask(self, now: float, seconds: float) -> None:
         """Record a refusal with a pause; the latest end counts."""
         if now >= self.until:
             self._since = now
         self.until = max(self.until, now + seconds)
+        self.ends_at = self.until
         self._on_trial = True
-        self._trial_until = -math.inf
 
     def on_request(self, now: float) -> None:
         """Record that a request is sent now."""
         if self._on_trial:
-            self._trial_until = now + TRIAL_S
+            self.ends_at = now + TRIAL_S
 
     def on_answer(self, now: float) -> None:
         """Record an answer that is no refusal."""
         if now >= self.until:
+            self.ends_at = self.until
             self._on_trial = False
-            self._trial_until = -math.inf
 
 
 __all__ = ('TRIAL_S', 'RequestedPause')
--- a/fuchsiafork/availability/record.py
+++ b/fuchsiafork/availability/record.py
@@ -55,13 +55,24 @@
         """Return whether the record must be kept without the entry."""
         return self._start_known and (self.leaving or now < self._pause.until)
 
+    def accepts(self, now: float) -> bool:
+        """Return whether the target takes requests."""
+        return (
+            self._leaving is None
+            and self._gone_since is None
+            and now >= self.backoff_until
+            and now >= self._pause.ends_at
+        )
+
     def status(self, now: float) -> Status:
-        """Return the state of the target."""
+        """Return the state of the target, and who told of it."""
+        if self.accepts(now):
+            return _ACCEPTING
         if self._gone_since is not None:
             return Status(Availability.GONE, Source.REGISTRY, self._gone_since)
         if self._leaving is not None:
             return self._leaving
-        return self._pause_status(now)
+        return self._longer_pause()
 
     def record_entry(self, now: float, *, leaving: bool) -> None:
         """
@@ -115,16 +126,13 @@
         """Let the next backoff be the initial one."""
         self._backoff_count = 0
 
-    def _pause_status(self, now: float) -> Status:
-        """Return the longer pause, or that the target takes requests."""
-        pause_ends_at = self._pause.ends_at()
-        if now >= max(pause_ends_at, self.backoff_until):
-            return _ACCEPTING
-        if pause_ends_at >= self.backoff_until:
+    def _longer_pause(self) -> Status:
+        """Return the pause that was asked for or the backoff."""
+        if self._pause.ends_at >= self.backoff_until:
             source, since = Source.REFUSAL, self._pause.since
         else:
             source, since = Source.CONNECTION, self._backoff_since
-        until = max(pause_ends_at, self.backoff_until)
+        until = max(self._pause.ends_at, self.backoff_until)
         return Status(Availability.PAUSED, source, since, until)
 
     def _leave(self, source: Source, now: float) -> None:
--- a/fuchsiafork/gateway/target_gate.py
+++ b/fuchsiafork/gateway/target_gate.py
@@ -36,7 +36,8 @@
 
     def accepts(self, state: TargetState, priority: int) -> bool:
         """Return whether a target takes requests of a priority."""
-        return self.status_for(state, priority).accepting
+        accepts = state.availability.accepts(self._clock.now())
+        return accepts and not self._limits.wait_s(state.target, priority)
 
     def accepting_targets(
         self, service: str, priority: int
