--- a/fuchsiafork/availability/__init__.py
+++ b/fuchsiafork/availability/__init__.py
@@ -1,8 +1,8 @@
 """
-Whether a target takes requests from this VM.
+Whether a target accepts requests from this VM.
 
-Each source that tells of one start of a target adds what it knows to a record,
-which gives one state. Does no I/O.
+The registry, answers and connections report on one start of a target to a
+record, which combines the reports into one state. Does no I/O.
 """
 
 from fuchsiafork.availability.pause import TRIAL_S
--- a/fuchsiafork/availability/pause.py
+++ b/fuchsiafork/availability/pause.py
@@ -1,39 +1,34 @@
-"""The pause that a target asked for, and its return afterwards."""
+"""The pause that a target requested, and the trial afterwards."""
 
 import math
 
-# Time in which the request that tries a target after its pause may stay
-# unanswered, before another one tries it.
+# Time for which a trial request may stay unanswered before the next one.
 TRIAL_S = 0.5
 
 
 class RequestedPause:
     """
-    When a target that refused a request may get the next ones.
+    When a target that refused a request accepts the next ones.
 
-    After the pause it gets one request at a time until it has answered one, so
-    that what waited for it doesn't come at once.
+    After the pause, one request at a time is sent to the target until one is
+    answered, so that the traffic doesn't return all at once.
 
+    :ivar since: time of the first refusal, seconds.
     :ivar until: end of the pause, seconds.
     :ivar ends_at: end of the pause or of the trial, seconds.
     """
 
     def __init__(self) -> None:
         """Start without a pause."""
+        self.since = -math.inf
         self.until = -math.inf
-        self._since = -math.inf
-        self._on_trial = False
         self.ends_at = -math.inf
+        self._on_trial = False
 
-    @property
-    def since(self) -> float:
-        """Time at which the target asked for it first, seconds."""
-        return self._since
-
-    def ask(self, now: float, seconds: float) -> None:
+    def request(self, now: float, seconds: float) -> None:
         """Record a refusal with a pause; the latest end counts."""
         if now >= self.until:
-            self._since = now
+            self.since = now
         self.until = max(self.until, now + seconds)
         self.ends_at = self.until
         self._on_trial = True
--- a/fuchsiafork/availability/record.py
+++ b/fuchsiafork/availability/record.py
@@ -17,21 +17,21 @@
 
 class AvailabilityRecord:
     """
-    Statements on one start of a target; the first that holds decides.
+    Reports on one start of a target, of which the strongest decides.
 
-    Its entry was removed; it leaves, as its entry or an answer says; it asked
-    for a pause, or is avoided after a failure. docs/platform.md, section 4,
-    has the whole table.
+    From strongest to weakest: its entry was removed; it is leaving, by its
+    entry or an answer; it requested a pause, or is avoided after a failure.
+    docs/platform.md, section 4, has the whole table.
 
     :ivar backoff_until: end of the backoff after a failure, seconds.
     """
 
     def __init__(self, *, start_known: bool = True) -> None:
         """
-        Start without statements.
+        Start without reports.
 
-        :param start_known: whether the entry tells when the target started,
-            so that a later start can be told from this one.
+        :param start_known: whether the entry has the time of the start, which
+            distinguishes it from a later one.
         """
         self._start_known = start_known
         self._gone_since: float | None = None
@@ -43,7 +43,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether the target has said that it leaves."""
+        """Whether the target has announced that it is leaving."""
         return self._leaving is not None
 
     @property
@@ -65,7 +65,7 @@
         )
 
     def status(self, now: float) -> Status:
-        """Return the state of the target, and who told of it."""
+        """Return the state of the target, with its source."""
         if self.accepts(now):
             return _ACCEPTING
         if self._gone_since is not None:
@@ -78,9 +78,9 @@
         """
         Record what the target's entry says.
 
-        A target doesn't stay once it leaves: an entry of the same start that
-        says otherwise is from a copy of the store. Where no start is known,
-        an entry that no longer says so is from another one.
+        A leaving target doesn't return before it restarts: an entry of the
+        same start that says otherwise is from a copy of the store. Where no
+        start is known, such an entry is from another one.
         """
         self._gone_since = None
         if leaving:
@@ -94,14 +94,14 @@
             self._gone_since = now
 
     def announce_leaving(self, now: float) -> bool:
-        """Record an answer that says it; return whether it is news."""
-        news = self._leaving is None
+        """Record an answer that announces it; return whether that is new."""
+        is_new = self._leaving is None
         self._leave(Source.ANSWER, now)
-        return news
+        return is_new
 
     def request_pause(self, now: float, seconds: float) -> None:
-        """Record a refusal by which the target asked for a pause."""
-        self._pause.ask(now, seconds)
+        """Record a refusal with which the target requested a pause."""
+        self._pause.request(now, seconds)
 
     def on_request(self, now: float) -> None:
         """Record that a request is sent to the target now."""
@@ -127,7 +127,7 @@
         self._backoff_count = 0
 
     def _longer_pause(self) -> Status:
-        """Return the pause that was asked for or the backoff."""
+        """Return the requested pause or the backoff."""
         if self._pause.ends_at >= self.backoff_until:
             source, since = Source.REFUSAL, self._pause.since
         else:
@@ -136,12 +136,12 @@
         return Status(Availability.PAUSED, source, since, until)
 
     def _leave(self, source: Source, now: float) -> None:
-        """Record that the target leaves, unless that is known."""
+        """Record that the target is leaving, unless that is known."""
         if self._leaving is None:
             self._leaving = Status(Availability.LEAVING, source, now)
 
     def _left_unknown_start(self) -> bool:
-        """Return whether an entry without a start said that it leaves."""
+        """Return whether an entry without a start is the source of LEAVING."""
         return (
             not self._start_known
             and self._leaving is not None
--- a/fuchsiafork/availability/status.py
+++ b/fuchsiafork/availability/status.py
@@ -1,4 +1,4 @@
-"""The states of a target, and the sources that tell of them."""
+"""The states of a target, and the sources of the reports on it."""
 
 import dataclasses
 import enum
@@ -7,10 +7,10 @@
 
 class Availability(enum.Enum):
     """
-    Whether a target takes requests.
+    Whether a target accepts requests.
 
-    ACCEPTING it does; PAUSED not before a time; LEAVING not again before
-    another start of it; GONE its entry was removed or replaced.
+    PAUSED: not before a time. LEAVING: not before it restarts. GONE: its entry
+    was removed or replaced.
     """
 
     ACCEPTING = 'accepting'
@@ -20,7 +20,7 @@
 
 
 class Source(enum.Enum):
-    """Who tells of a target."""
+    """Who reported on a target."""
 
     REGISTRY = 'registry'
     ANSWER = 'answer'
@@ -34,8 +34,8 @@
     """
     The state of a target.
 
-    :ivar source: who told of it.
-    :ivar since: time at which it was told, seconds; -inf if at no time.
+    :ivar source: who reported it.
+    :ivar since: time of the report, seconds; -inf if there is none.
     :ivar until: end of a pause, seconds; inf if none is known.
     """
 
@@ -46,13 +46,8 @@
 
     @property
     def accepting(self) -> bool:
-        """Whether the target takes requests."""
+        """Whether the target accepts requests."""
         return self.availability is Availability.ACCEPTING
 
-    @property
-    def final(self) -> bool:
-        """Whether only another start of the target can end the state."""
-        return self.availability in {Availability.LEAVING, Availability.GONE}
-
 
 __all__ = ('Availability', 'Source', 'Status')
--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -66,8 +66,8 @@
     :ivar target_at_fault: whether the failure counts against the target.
     :ivar broken: whether the connection ended before the whole answer.
     :ivar begun: whether the target had sent an event in this attempt.
-    :ivar withdrawn: whether the target took no more requests right before
-        this one was sent.
+    :ivar withdrawn: whether the target stopped accepting requests before this
+        one was sent.
     """
 
     error: FuchsiaforkError
@@ -112,9 +112,9 @@
             begun to answer.
         :param on_answered: called with the part of the request when a target
             has run it to its end.
-        :param on_head: called with each target that answers, and with what
-            the head of its answer says; not for that of another target at a
-            reused address.
+        :param on_head: called with each target that answers, and with the
+            metadata of its answer; not for another target at a reused
+            address.
         """
         self._on_head = on_head
         self.may_have_run = False
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -55,13 +55,13 @@
         )
         self.withdrawn_attempts = prom.Counter(
             'fuchsiafork_gateway_withdrawn_attempts',
-            'Attempts that were not sent, as their target took no more '
-            'requests once they were ready.',
+            'Attempts that were not sent, as their target had stopped '
+            'accepting requests.',
             registry=self.registry,
         )
         self.target_pauses = prom.Counter(
             'fuchsiafork_gateway_target_pauses',
-            'Refusals by which targets asked this VM for a pause.',
+            'Refusals with which targets requested a pause of this VM.',
             registry=self.registry,
         )
         self.unavailable_targets = prom.Gauge(
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -245,7 +245,7 @@
         )
 
     def _accepts(self, state: TargetState) -> bool:
-        """Return whether a target takes the request now."""
+        """Return whether a target accepts the request now."""
         return self._shared.target_gate.accepts(state, self._priority)
 
     async def _may_retry(self, failure: Failure | None) -> bool:
@@ -316,7 +316,7 @@
             reachability.record_no_answer(target.domain, target.target_id, now)
 
     def _log_withdrawn(self, state: TargetState) -> None:
-        """Log and count an attempt whose target took no more requests."""
+        """Log and count an attempt whose target stopped accepting."""
         status = self._shared.target_gate.status(state)
         self._shared.metrics.withdrawn_attempts.inc()
         self._shared.log.info(
--- a/fuchsiafork/gateway/rollouts.py
+++ b/fuchsiafork/gateway/rollouts.py
@@ -122,11 +122,12 @@
         Return the targets of the version that one request is assigned to.
 
         Until the verdict, a request goes to the old version while no target
-        of the new one takes it. Afterwards it doesn't: the old version ends.
+        of the new one accepts it. Afterwards it doesn't, since the targets of
+        the old version stop.
 
-        :param states: targets that don't leave.
+        :param states: targets that are not leaving.
         :param sample: random number of the request, from 0 to 1.
-        :param accepts: whether a target takes the request now.
+        :param accepts: whether a target accepts the request now.
         """
         canary = self._canaries.get(service)
         if canary is not None:
--- a/fuchsiafork/gateway/target_announcements.py
+++ b/fuchsiafork/gateway/target_announcements.py
@@ -1,4 +1,4 @@
-"""Records what targets say of themselves in the heads of their answers."""
+"""Records what the heads of answers report on their targets."""
 
 from typing import Any
 
@@ -25,7 +25,7 @@
         """
         Record announcements in a table and in the limits.
 
-        :param pool: keeps no idle connections to targets that leave.
+        :param pool: keeps no idle connections to leaving targets.
         """
         self._targets = targets
         self._limits = limits
@@ -35,7 +35,7 @@
         self._log = log
 
     def record(self, target: Target, metadata: ResponseMetadata) -> None:
-        """Record what the head of an answer says of its target."""
+        """Record what the head of an answer reports on its target."""
         self._limits.record_answer(target, metadata)
         if metadata.leaving:
             self._record_leaving(target, metadata.request_id)
@@ -53,18 +53,18 @@
     def _record_pause(
         self, target: Target, seconds: float, request_id: str
     ) -> None:
-        """Record that a target wants nothing for some time."""
+        """Record that a target requested a pause."""
         self._targets.request_pause(target, seconds, self._clock.now())
         self._metrics.target_pauses.inc()
         self._log.info(
-            'target_asked_for_pause',
+            'target_requested_pause',
             target=target.lifetime,
             seconds=seconds,
             request_id=request_id,
         )
 
     def _record_leaving(self, target: Target, request_id: str) -> None:
-        """Record that a target leaves."""
+        """Record that a target is leaving."""
         self._pool.drop(target.address)
         if self._targets.announce_leaving(target, self._clock.now()):
             self._log.info(
--- a/fuchsiafork/gateway/target_call.py
+++ b/fuchsiafork/gateway/target_call.py
@@ -53,7 +53,7 @@
 
 class TargetWithdrawnError(Exception):
     """
-    The target took no more requests right before this one was sent.
+    The target stopped accepting requests before this one was sent.
 
     :ivar status: its state.
     """
@@ -90,7 +90,7 @@
         self._reused = False
         self._answered = False
         self._discarding = False
-        # Whether an informational answer said that the target leaves.
+        # Whether an informational answer announced that the target is leaving.
         self._announced_leaving = False
 
     @property
@@ -125,7 +125,7 @@
         :param require_fresh: whether the connection must be new or have
             answered recently.
         :raises ConnectError: if no byte of it was sent.
-        :raises TargetWithdrawnError: if the target takes no more requests.
+        :raises TargetWithdrawnError: if the target accepts no more requests.
         :raises BrokenAnswerError: if part of it may have been sent.
         """
         address = self.state.target.address
@@ -212,7 +212,7 @@
 
     def _require_accepting(self) -> None:
         """
-        Check that the target still takes requests.
+        Check that the target still accepts requests.
 
         :raises TargetWithdrawnError: if it doesn't.
         """
--- a/fuchsiafork/gateway/target_gate.py
+++ b/fuchsiafork/gateway/target_gate.py
@@ -1,4 +1,4 @@
-"""Decides which targets get requests from this VM now; does no I/O."""
+"""Decides which targets accept requests from this VM; does no I/O."""
 
 from fuchsiafork.availability import Availability, Source, Status
 from fuchsiafork.gateway.target_limits import TargetLimits
@@ -8,9 +8,9 @@
 
 class TargetGate:
     """
-    Tells whether a target takes requests.
+    Decides whether a target accepts requests.
 
-    Asked when a target is chosen, and again right before a request is sent.
+    TargetCall repeats the check on the target's record right before sending.
     """
 
     def __init__(
@@ -35,14 +35,14 @@
         return Status(Availability.PAUSED, Source.LIMIT, until=until)
 
     def accepts(self, state: TargetState, priority: int) -> bool:
-        """Return whether a target takes requests of a priority."""
+        """Return whether a target accepts requests of a priority."""
         accepts = state.availability.accepts(self._clock.now())
         return accepts and not self._limits.wait_s(state.target, priority)
 
     def accepting_targets(
         self, service: str, priority: int
     ) -> list[TargetState]:
-        """Return the targets of a service that take requests of a priority."""
+        """Return the targets of a service that accept such requests."""
         return [
             state
             for state in self._targets.serving_targets(service)
--- a/fuchsiafork/gateway/target_selection.py
+++ b/fuchsiafork/gateway/target_selection.py
@@ -59,7 +59,7 @@
         """
         Return the target for an attempt, None if no target is eligible.
 
-        :param states: targets that take requests.
+        :param states: targets that accept requests.
         """
         candidates = [
             state
--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -167,7 +167,7 @@
         )
 
     def serving_targets(self, service: str) -> list[TargetState]:
-        """Return the targets of a service that don't leave."""
+        """Return the targets of a service that are not leaving."""
         return [
             state
             for state in self._states.values()
@@ -177,17 +177,17 @@
 
     def announce_leaving(self, target: Target, now: float) -> bool:
         """
-        Record an answer that says that a target leaves.
+        Record an answer with which a target announces that it is leaving.
 
-        :returns: whether it is news.
+        :returns: whether that is new.
         """
         record = self._record_of(target, now)
-        news = record.announce_leaving(now)
+        is_new = record.announce_leaving(now)
         self._keep_record(target, record, now)
-        return news
+        return is_new
 
     def request_pause(self, target: Target, seconds: float, now: float) -> None:
-        """Record a refusal by which a target asked for a pause."""
+        """Record a refusal with which a target requested a pause."""
         record = self._record_of(target, now)
         record.request_pause(now, seconds)
         self._keep_record(target, record, now)
--- a/fuchsiafork/gateway/tried_targets.py
+++ b/fuchsiafork/gateway/tried_targets.py
@@ -1,4 +1,4 @@
-"""Targets that one request has been to, and those that it doesn't return to."""
+"""Targets that one request was sent to, and those that it avoids."""
 
 from fuchsiafork.gateway.targets import TargetState
 
@@ -18,7 +18,7 @@
         self._max_targets = max_targets
         self._tried_ids: list[str] = []
         self._unreached_ids: set[str] = set()
-        # Targets that took no more requests right before this one was sent.
+        # Targets that stopped accepting requests before this one was sent.
         self._withdrawn_ids: set[str] = set()
         # Target whose kept connection ended without an answer. It may have run
         # the request, so that the request is sent there once more.
@@ -42,7 +42,7 @@
 
     @property
     def excluded_ids(self) -> frozenset[str]:
-        """Ids of the targets that the request doesn't return to."""
+        """Ids of the targets that the request avoids."""
         return frozenset((
             *self._tried_ids,
             *self._unreached_ids,
@@ -54,7 +54,7 @@
         return target_id in self._unanswered_ids
 
     def add(self, target_id: str) -> None:
-        """Add a target that has got the request."""
+        """Add a target that received the request."""
         self._tried_ids.append(target_id)
 
     def add_unreached(self, target_id: str) -> None:
@@ -63,7 +63,7 @@
         self._add_unanswered(target_id)
 
     def add_withdrawn(self, target_id: str) -> None:
-        """Add a target that took no more requests right before this one."""
+        """Add a target that stopped accepting requests before this one."""
         self._withdrawn_ids.add(target_id)
         self._add_unanswered(target_id)
 
--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -301,7 +301,7 @@
 
 
 class TargetsPausedError(FuchsiaforkError):
-    """The targets that are left have asked this VM for a pause."""
+    """The targets that are left have requested a pause of this VM."""
 
     code = 2210
     status = 503
--- a/fuchsiafork/platform/headers.py
+++ b/fuchsiafork/platform/headers.py
@@ -17,7 +17,7 @@
 _MS_PER_S = 1000
 _EMPTY = ''
 _DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
-# Of any length: a pause that is longer than the target lives is one as well.
+# Of any length, as a pause may be longer than the target's life.
 _SECONDS = re.compile(r'[0-9]+(\.[0-9]*)?')
 # Headers that apply to a single connection, and headers that are set again for
 # the next one.
@@ -74,9 +74,9 @@
     :ivar has_mac: whether the target's MAC is present.
     :ivar encoded: whether an intermediary encoded the body.
     :ivar keep_alive: value of the ``keep-alive`` header.
-    :ivar leaving: whether the target states that it leaves.
-    :ivar pause_s: seconds for which the target wants nothing more from this
-        VM, None if it asks for no pause.
+    :ivar leaving: whether the target announces that it is leaving.
+    :ivar pause_s: seconds for which this VM must send nothing more to the
+        target, None if it requests no pause.
     :ivar invalid_pause: a time that is no number of seconds, empty otherwise.
     :ivar rate_limit: requests a second that the target accepts from all VMs
         together, None if it names no limit.
@@ -147,7 +147,7 @@
     """
     Parse the headers of a response.
 
-    :param status: its status; a target asks for a pause with 503 only.
+    :param status: its status; only 503 can request a pause.
     """
     values = dict(headers)
     encoding = values.get('content-encoding', 'identity')
@@ -176,8 +176,8 @@
     """
     Return the headers of a response that is forwarded to its caller.
 
-    That a target leaves concerns the VMs that send to it: a caller would take
-    it for the VM.
+    The announcement of a leaving target is dropped, since a caller would
+    relate it to the VM.
     """
     dropped = _dropped_headers(headers) | {names.TARGET_LEAVING}
     return [pair for pair in headers if pair[0] not in dropped]
--- a/fuchsiafork/platform/names.py
+++ b/fuchsiafork/platform/names.py
@@ -10,7 +10,7 @@
 NOT_RUN = 'x-not-executed'
 # Requests a second that a target in need accepts from all VMs together.
 RATE_LIMIT = 'server-limit'
-# Set to LEAVING in each answer of a target that leaves.
+# Set to LEAVING in each answer of a leaving target.
 TARGET_LEAVING = 'server-leaving'
 LEAVING = '1'
 # Id of the only target that may accept the request; others refuse it.
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -39,9 +39,9 @@
     :ivar raw_response: bytes to send in place of any answer.
     :ivar trailing_bytes: bytes to send after a complete answer.
     :ivar rate_limit: limit that each answer names, empty for none.
-    :ivar retry_after: time that refusals and answers 503 name, in which the
-        target wants nothing more from the VM; empty for none.
-    :ivar leaving: say in each answer that the target leaves.
+    :ivar retry_after: pause of the VM that answers 503 request, in seconds;
+        empty for none.
+    :ivar leaving: announce in each answer that the target is leaving.
     :ivar head_start: bytes to send ahead of each answer.
     :ivar drip: bytes to send without end in place of the end of a stream.
     """
@@ -192,7 +192,7 @@
     def _announcements(
         self, behaviour: Behaviour, request_id: str
     ) -> list[tuple[str, str]]:
-        """Return the headers by which an answer tells of its target."""
+        """Return the headers with which a target announces its state."""
         headers = _limit_headers(behaviour)
         if behaviour.leaving:
             headers.append(('server-leaving', '1'))
--- a/standins/recorded_targets.py
+++ b/standins/recorded_targets.py
@@ -1,4 +1,4 @@
-"""Targets that record what reaches them, and what they say of themselves."""
+"""Targets that record arrivals and their own announcements."""
 
 import contextlib
 import dataclasses
@@ -24,7 +24,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pause:
     """
-    A refusal by which a target asks a VM for a pause.
+    A refusal with which a target requests a pause of a VM.
 
     :ivar refusal: the head of the answer.
     :ivar seconds: length of the pause from then on.
@@ -37,15 +37,15 @@
 @dataclasses.dataclass(slots=True)
 class TargetRecord:
     """
-    What several targets got and said.
+    What several targets received and announced.
 
     :ivar arrivals: requests that reached a target, also refused ones.
-    :ivar farewells: answers by which a target said that it leaves.
-    :ivar pauses: answers by which a target asked for a pause.
+    :ivar announcements: answers that announced that a target is leaving.
+    :ivar pauses: answers with which a target requested a pause.
     """
 
     arrivals: list[TargetEvent] = dataclasses.field(default_factory=list)
-    farewells: list[TargetEvent] = dataclasses.field(default_factory=list)
+    announcements: list[TargetEvent] = dataclasses.field(default_factory=list)
     pauses: list[Pause] = dataclasses.field(default_factory=list)
 
 
@@ -70,9 +70,9 @@
     def _announcements(
         self, behaviour: Behaviour, request_id: str
     ) -> list[tuple[str, str]]:
-        """Return the headers of an answer, and record what they say."""
+        """Return the headers of an answer, and record the announcements."""
         if behaviour.leaving:
-            self._record.farewells.append(self._event(request_id))
+            self._record.announcements.append(self._event(request_id))
         headers = super()._announcements(behaviour, request_id)
         with contextlib.suppress(KeyError, ValueError):
             seconds = float(dict(headers)['retry-after'])
--- a/tests/announcement_case.py
+++ b/tests/announcement_case.py
@@ -1,4 +1,4 @@
-"""Test case with many gateways, and targets that tell of themselves."""
+"""Test case with many gateways, and targets that announce their state."""
 
 import asyncio
 import collections
@@ -22,8 +22,8 @@
 EVENTS = 3
 SUBJECTS = 40
 OK_STATUS = 200
-# Time from a refusal in which arrivals don't count yet.
-TOLD_S = 0.5
+# Time from a refusal in which arrivals don't count yet, as it is on its way.
+REFUSAL_DELAY_S = 0.5
 
 # VM and target.
 Pair = tuple[str, str]
@@ -107,22 +107,22 @@
                 self._start(self.rng.choice(tuple(self.site.ports)))
                 sent += 1
 
-    def arrivals_after_farewell(self, seconds: float) -> dict[Pair, int]:
+    def arrivals_after_announcement(self, seconds: float) -> dict[Pair, int]:
         """
-        Return how many requests reached a target that had told their VM.
+        Return how many requests reached a target after its announcement.
 
-        :param seconds: time after the first such answer to that VM; requests
+        :param seconds: time from the first such answer to the VM; requests
             that a caller sent earlier don't count.
         """
-        told_at: dict[Pair, float] = {}
-        for farewell in self.record.farewells:
-            vm, _ = self.sent[farewell.request_id]
-            told_at.setdefault((vm, farewell.target_id), farewell.at)
+        notified_at: dict[Pair, float] = {}
+        for event in self.record.announcements:
+            vm, _ = self.sent[event.request_id]
+            notified_at.setdefault((vm, event.target_id), event.at)
         late: collections.Counter[Pair] = collections.Counter()
         for arrival in self.record.arrivals:
             vm, sent_at = self.sent[arrival.request_id]
             pair = (vm, arrival.target_id)
-            if pair in told_at and sent_at > told_at[pair] + seconds:
+            if pair in notified_at and sent_at > notified_at[pair] + seconds:
                 late[pair] += 1
         return dict(late)
 
@@ -138,7 +138,7 @@
             arrivals[vm, arrival.target_id].append(arrival.at)
         return [
             sum(
-                refusal.at + TOLD_S < at < refusal.at + pause.seconds
+                refusal.at + REFUSAL_DELAY_S < at < refusal.at + pause.seconds
                 for at in arrivals[
                     self.sent[refusal.request_id][0], refusal.target_id
                 ]
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -1,4 +1,4 @@
-"""Tests of what decides whether a target takes requests."""
+"""Tests of what decides whether a target accepts requests."""
 
 import dataclasses
 import unittest
@@ -31,7 +31,7 @@
 
 
 class TestPrecedence(unittest.TestCase):
-    """Which statement on a target goes before which."""
+    """Which report on a target takes precedence."""
 
     def setUp(self) -> None:
         """Start with an entry that says nothing."""
@@ -39,12 +39,12 @@
         self.record.record_entry(0.0, leaving=False)
 
     def state(self, now: float = 0.1) -> tuple[Availability, Source]:
-        """Return the state and who told of it."""
+        """Return the state and its source."""
         status = self.record.status(now)
         return status.availability, status.source
 
-    def test_stronger_statement_decides(self) -> None:
-        """Guards against a weaker statement that hides a stronger one."""
+    def test_stronger_report_decides(self) -> None:
+        """Guards against a weaker report that hides a stronger one."""
         self.assertEqual(self.state(), (ACCEPTING, Source.REGISTRY))
         self.record.back_off(0.0)
         self.assertEqual(self.state(), (Availability.PAUSED, Source.CONNECTION))
@@ -55,8 +55,8 @@
         self.record.record_removal(0.0)
         self.assertEqual(self.state(), (Availability.GONE, Source.REGISTRY))
 
-    def test_weaker_statement_does_not_hide_a_stronger_one(self) -> None:
-        """Guards against a state that depends on the order of statements."""
+    def test_order_of_reports_does_not_matter(self) -> None:
+        """Guards against a state that depends on the order of reports."""
         self.record.record_removal(0.0)
         self.record.announce_leaving(0.0)
         self.record.request_pause(0.0, 5.0)
@@ -79,7 +79,7 @@
         self.assertEqual(self.state(), (Availability.PAUSED, Source.CONNECTION))
         self.assertEqual(self.record.status(0.0).until, INITIAL_BACKOFF_S)
 
-    def test_first_word_is_kept(self) -> None:
+    def test_first_announcement_is_kept(self) -> None:
         """Guards against a time and a source that change with each answer."""
         self.assertTrue(self.record.announce_leaving(1.0))
         self.assertFalse(self.record.announce_leaving(2.0))
@@ -89,10 +89,10 @@
 
 
 class TestEnds(unittest.TestCase):
-    """What ends the word of a target that it leaves."""
+    """What ends the announcement that a target is leaving."""
 
     def setUp(self) -> None:
-        """Start with a target that has said so in an answer."""
+        """Start with a target that has announced it in an answer."""
         self.table = TargetTable()
         self.table.upsert(FIRST, 0.0)
         self.assertTrue(self.table.announce_leaving(FIRST, 1.0))
@@ -128,7 +128,7 @@
         self.table.announce_leaving(FIRST, 3.0)
         self.assertIs(availability(self.table), ACCEPTING)
 
-    def test_word_on_a_removed_entry_is_kept(self) -> None:
+    def test_announcement_after_the_removal_is_kept(self) -> None:
         """Guards against an answer that comes after the removal."""
         table = TargetTable()
         table.upsert(FIRST, 0.0)
@@ -168,7 +168,7 @@
 
 
 class TestRequestedPause(unittest.TestCase):
-    """The pause that a target asked for."""
+    """The pause that a target requested."""
 
     def setUp(self) -> None:
         """Start with a pause of four seconds."""
@@ -235,7 +235,7 @@
 
 
 class TestPauseHeader(unittest.TestCase):
-    """The header by which a target asks for a pause."""
+    """The header with which a target requests a pause."""
 
     def test_seconds(self) -> None:
         """Guards against times that are not understood."""
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -1,4 +1,4 @@
-"""Tests of targets that say in their answers that they leave."""
+"""Tests of targets that announce in their answers that they are leaving."""
 
 import asyncio
 import dataclasses
@@ -7,8 +7,8 @@
 from standins.platform_store import StoreFault
 from tests.announcement_case import AnnouncementCase
 
-# Time after which a request of a caller must not reach a target that has told
-# its VM that it leaves.
+# Time from the announcement after which a request of a caller must not reach
+# the target from that VM.
 DRAIN_S = 2.0
 CALM_S = 1.0
 LOAD_S = DRAIN_S + 1.2
@@ -16,7 +16,7 @@
 
 
 class LeavingCase(AnnouncementCase):
-    """Lets targets say that they leave, and counts what reaches them."""
+    """Lets targets announce that they are leaving, and counts arrivals."""
 
     async def leave(self, count: int, **behaviour: object) -> None:
         """Send requests while some targets begin to leave."""
@@ -33,9 +33,9 @@
         await asyncio.sleep(0.2)
 
     def assert_left_alone(self) -> None:
-        """Check that VMs were told, and sent nothing afterwards."""
-        self.assertTrue(self.record.farewells)
-        self.assertEqual(self.arrivals_after_farewell(DRAIN_S), {})
+        """Check that VMs were notified, and sent nothing afterwards."""
+        self.assertTrue(self.record.announcements)
+        self.assertEqual(self.arrivals_after_announcement(DRAIN_S), {})
 
 
 class TestPlainAnswers(LeavingCase):
@@ -47,7 +47,7 @@
         self.assert_left_alone()
         self.assertEqual(self.served_share(self.left_at), 1.0)
 
-    async def test_refusals_tell_too(self) -> None:
+    async def test_refusals_announce_it_too(self) -> None:
         """Guards against reading the announcement on successes only."""
         await self.leave(LEAVING_COUNT, not_run=True, status=503)
         self.assert_left_alone()
@@ -66,7 +66,7 @@
         self.assertTrue(all('retry-after' in e.reply.headers for e in late))
 
     async def test_store_is_not_needed(self) -> None:
-        """Guards against a word that counts once the registry confirms it."""
+        """Guards against waiting for the registry to confirm it."""
         self.site.store.fault = StoreFault.RESET
         self.site.store.server.break_connections()
         await self.leave(LEAVING_COUNT)
@@ -94,7 +94,7 @@
 
 
 class TestStreams(LeavingCase):
-    """Engines that say it at the head of their streams."""
+    """Engines that announce it at the head of their streams."""
 
     path = '/talk/1'
 
--- a/tests/test_target_pauses.py
+++ b/tests/test_target_pauses.py
@@ -1,4 +1,4 @@
-"""Tests of targets that want nothing from a VM for some time."""
+"""Tests of targets that request a pause of a VM."""
 
 import asyncio
 import dataclasses
@@ -21,7 +21,7 @@
     """Lets targets refuse, and counts what reaches them in their pauses."""
 
     async def refuse(self, count: int, *pauses: str) -> None:
-        """Send requests while some targets refuse and ask for pauses."""
+        """Send requests while some targets refuse and request pauses."""
         await self.run_load(CALM_S)
         self.refused_at = time.monotonic()
         lengths = itertools.cycle(pauses)
@@ -32,7 +32,7 @@
         await asyncio.sleep(0.2)
 
     def busy(self, target: RecordedTarget, pause: str) -> None:
-        """Let a target refuse each request and ask for a pause."""
+        """Let a target refuse each request and request a pause."""
         target.behaviour = dataclasses.replace(
             target.behaviour,
             not_run=True,
@@ -47,7 +47,7 @@
         )
 
     def assert_paused(self) -> None:
-        """Check that VMs were asked for pauses, and kept them."""
+        """Check that pauses were requested, and kept."""
         self.assertTrue(self.record.pauses)
         broken = [
             arrivals
@@ -61,7 +61,7 @@
     """Targets of a plain service."""
 
     async def test_one_target_is_left_alone(self) -> None:
-        """Guards against repeats at a target that asked for none."""
+        """Guards against further requests to a target that refuses."""
         await self.refuse(1, '2.5')
         self.assert_paused()
         self.assertGreaterEqual(self.served_share(self.refused_at), 0.98)
@@ -82,7 +82,7 @@
         self.assertTrue(all('retry-after' in e.reply.headers for e in late))
 
     async def test_restarted_target_is_used(self) -> None:
-        """Guards against a target that is lost for an hour it asked for."""
+        """Guards against a target that is lost for an hour."""
         await self.refuse(1, '3600')
         self.assert_paused()
         self.recover(self.targets[0])
--- a/tests/test_ways_to_targets.py
+++ b/tests/test_ways_to_targets.py
@@ -1,4 +1,4 @@
-"""Tests of each way by which a request reaches a target that leaves."""
+"""Tests of each way by which a request reaches a target."""
 
 import asyncio
 import unittest.mock
@@ -17,15 +17,15 @@
 
 class WaysCase(GatewayCase):
     """
-    A target takes no more requests after it was chosen.
+    A target stops accepting requests after it was selected.
 
-    :ivar statement: what its answer says.
+    :ivar statement: metadata of its answer.
     """
 
     statement = parse_response_headers(LEAVING)
 
     def announce(self, *targets: PlatformTarget) -> None:
-        """Let the gateway have an answer with the statement of targets."""
+        """Let the gateway receive the statement of targets."""
         shared = self.gateway._shared
         for target in targets:
             state = shared.targets.get(target.target_id)
@@ -36,7 +36,7 @@
     def announce_at(
         self, owner: object, name: str, *targets: PlatformTarget
     ) -> Any:
-        """Return a patch by which targets say it while a call waits."""
+        """Return a patch by which they announce it while a call waits."""
         original = getattr(owner, name)
 
         async def call(*args: Any, **kwargs: Any) -> Any:
@@ -63,10 +63,10 @@
 
 
 class TestWays(WaysCase):
-    """A target says that it leaves."""
+    """A target announces that it is leaving."""
 
     async def test_first_try(self) -> None:
-        """Guards against a word that only later answers are compared with."""
+        """Guards against an announcement that is recorded and not used."""
         self.announce(self.plain[0])
         for number in range(6):
             await self.call('/look/1', request_id=f'r-{number}')
@@ -177,13 +177,13 @@
 
 
 class TestWaysToPausedTargets(TestWays):
-    """A target wants nothing for a minute."""
+    """A target requests a pause of a minute."""
 
     statement = parse_response_headers([('retry-after', '60')], 503)
 
 
 class TestLeaving(WaysCase):
-    """What else follows once a target leaves."""
+    """What else changes once a target is leaving."""
 
     async def test_answers_of_all_kinds_tell(self) -> None:
         """Guards against reading the header of some answers only."""
@@ -231,11 +231,11 @@
         self.assertNotIn('server-leaving', reply.headers)
 
 
-class TestWordsOfOthers(GatewayCase):
-    """Answers that say nothing of the target that was meant."""
+class TestAnnouncementsOfOthers(GatewayCase):
+    """Answers that don't come from the selected target, or not only."""
 
     async def test_informational_head(self) -> None:
-        """Guards against a word that comes before the final head only."""
+        """Guards against reading the final head only."""
         early = b'HTTP/1.1 103 Early Hints\r\nserver-leaving: 1\r\n\r\n'
         self.plain[0].behaviour = Behaviour(head_start=early)
         await self._fill(6)
