--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -20,22 +20,22 @@
 
     async def leave(self, count: int, **behaviour: object) -> None:
         """Send requests while some targets begin to leave."""
-        await self.run_load(CALM_S)
+        await self.fleet.run_load(CALM_S)
         self.left_at = time.monotonic()
-        for target in self.targets[:count]:
+        for target in self.fleet.targets[:count]:
             target.behaviour = dataclasses.replace(
                 target.behaviour,
                 leaving=True,
                 **behaviour,  # type: ignore[arg-type]
             )
-        await self.run_load(LOAD_S)
+        await self.fleet.run_load(LOAD_S)
         # Answers that are on their way.
         await asyncio.sleep(0.2)
 
     def assert_left_alone(self) -> None:
         """Check that VMs were notified, and sent nothing afterwards."""
-        self.assertTrue(self.record.announcements)
-        self.assertEqual(self.arrivals_after_announcement(DRAIN_S), {})
+        self.assertTrue(self.fleet.record.announcements)
+        self.assertEqual(self.fleet.arrivals_after_announcement(DRAIN_S), {})
 
 
 class TestPlainAnswers(LeavingCase):
@@ -45,21 +45,23 @@
         """Guards against VMs that heed only the registry."""
         await self.leave(LEAVING_COUNT)
         self.assert_left_alone()
-        self.assertEqual(self.served_share(self.left_at), 1.0)
+        self.assertEqual(self.fleet.served_share(self.left_at), 1.0)
 
     async def test_refusals_announce_it_too(self) -> None:
         """Guards against reading the announcement on successes only."""
         await self.leave(LEAVING_COUNT, not_run=True, status=503)
         self.assert_left_alone()
-        self.assertGreaterEqual(self.served_share(self.left_at + DRAIN_S), 0.99)
+        self.assertGreaterEqual(
+            self.fleet.served_share(self.left_at + DRAIN_S), 0.99
+        )
 
     async def test_service_without_other_targets_refuses_at_once(self) -> None:
         """Guards against leaving targets as a last resort."""
-        await self.leave(len(self.targets))
+        await self.leave(len(self.fleet.targets))
         self.assert_left_alone()
         late = [
             exchange
-            for exchange in self.exchanges
+            for exchange in self.fleet.exchanges
             if exchange.sent_at > self.left_at + DRAIN_S
         ]
         self.assertEqual({e.reply.status for e in late}, {503})
@@ -67,28 +69,28 @@
 
     async def test_store_is_not_needed(self) -> None:
         """Guards against waiting for the registry to confirm it."""
-        self.site.store.fault = StoreFault.RESET
-        self.site.store.server.break_connections()
+        self.fleet.site.store.fault = StoreFault.RESET
+        self.fleet.site.store.server.break_connections()
         await self.leave(LEAVING_COUNT)
         self.assert_left_alone()
 
     async def test_successor_is_used(self) -> None:
         """Guards against a service that shrinks with each replacement."""
         await self.leave(LEAVING_COUNT)
-        successor = self.make_target('u-1', 'a')
-        await self.site.add_target(successor, born=2000)
-        restarted = self.targets[0]
+        successor = self.fleet.make_target('u-1', 'a')
+        await self.fleet.site.add_target(successor, born=2000)
+        restarted = self.fleet.targets[0]
         restarted.behaviour = dataclasses.replace(
             restarted.behaviour, leaving=False
         )
-        self.site.register(restarted, born=3000)
+        self.fleet.site.register(restarted, born=3000)
         restarted_at = time.monotonic()
-        await self.run_load(1.0)
+        await self.fleet.run_load(1.0)
         self.assertTrue(successor.runs)
         self.assertTrue(
             any(run.started_at > restarted_at for run in restarted.runs)
         )
-        for target in self.targets[1:LEAVING_COUNT]:
+        for target in self.fleet.targets[1:LEAVING_COUNT]:
             late = [r for r in target.runs if r.started_at > restarted_at]
             self.assertEqual(late, [])
 
@@ -102,4 +104,4 @@
         """Guards against heads of streams that are not looked at."""
         await self.leave(LEAVING_COUNT)
         self.assert_left_alone()
-        self.assertEqual(self.served_share(self.left_at), 1.0)
+        self.assertEqual(self.fleet.served_share(self.left_at), 1.0)
--- a/tests/test_target_pauses.py
+++ b/tests/test_target_pauses.py
@@ -22,12 +22,12 @@
 
     async def refuse(self, count: int, *pauses: str) -> None:
         """Send requests while some targets refuse and request pauses."""
-        await self.run_load(CALM_S)
+        await self.fleet.run_load(CALM_S)
         self.refused_at = time.monotonic()
         lengths = itertools.cycle(pauses)
-        for target in self.targets[:count]:
+        for target in self.fleet.targets[:count]:
             self.busy(target, next(lengths))
-        await self.run_load(LOAD_S)
+        await self.fleet.run_load(LOAD_S)
         # Answers that are on their way.
         await asyncio.sleep(0.2)
 
@@ -48,10 +48,10 @@
 
     def assert_paused(self) -> None:
         """Check that pauses were requested, and kept."""
-        self.assertTrue(self.record.pauses)
+        self.assertTrue(self.fleet.record.pauses)
         broken = [
             arrivals
-            for arrivals in self.arrivals_in_pauses()
+            for arrivals in self.fleet.arrivals_in_pauses()
             if arrivals > MAX_ARRIVALS
         ]
         self.assertEqual(broken, [])
@@ -64,19 +64,21 @@
         """Guards against further requests to a target that refuses."""
         await self.refuse(1, '2.5')
         self.assert_paused()
-        self.assertGreaterEqual(self.served_share(self.refused_at), 0.98)
+        self.assertGreaterEqual(self.fleet.served_share(self.refused_at), 0.98)
 
     async def test_most_targets_are_left_alone(self) -> None:
         """Guards against attempts that are used up on refusals."""
         await self.refuse(6, *PAUSES)
         self.assert_paused()
-        self.assertGreaterEqual(self.served_share(self.refused_at), 0.9)
+        self.assertGreaterEqual(self.fleet.served_share(self.refused_at), 0.9)
 
     async def test_all_targets_are_left_alone(self) -> None:
         """Guards against a request that has to go somewhere."""
-        await self.refuse(len(self.targets), *PAUSES)
+        await self.refuse(len(self.fleet.targets), *PAUSES)
         self.assert_paused()
-        late = [e for e in self.exchanges if e.sent_at > self.refused_at + 1]
+        late = [
+            e for e in self.fleet.exchanges if e.sent_at > self.refused_at + 1
+        ]
         self.assertEqual({e.reply.status for e in late}, {UNAVAILABLE})
         self.assertLess(max(e.seconds for e in late), 0.5)
         self.assertTrue(all('retry-after' in e.reply.headers for e in late))
@@ -85,27 +87,27 @@
         """Guards against a target that is lost for an hour."""
         await self.refuse(1, '3600')
         self.assert_paused()
-        self.recover(self.targets[0])
-        self.site.register(self.targets[0], born=2000)
-        await self.run_load(1.0)
+        self.recover(self.fleet.targets[0])
+        self.fleet.site.register(self.fleet.targets[0], born=2000)
+        await self.fleet.run_load(1.0)
         self.assertTrue(
             any(
                 run.started_at > self.refused_at + LOAD_S
-                for run in self.targets[0].runs
+                for run in self.fleet.targets[0].runs
             )
         )
 
     async def test_target_returns_after_its_pause(self) -> None:
         """Guards against a target that stays out."""
         await self.refuse(2, '1.5')
-        for target in self.targets:
+        for target in self.fleet.targets:
             self.recover(target)
         recovered_at = time.monotonic()
-        await self.run_load(3.0)
-        for target in self.targets[:2]:
+        await self.fleet.run_load(3.0)
+        for target in self.fleet.targets[:2]:
             late = [r for r in target.runs if r.started_at > recovered_at + 1.5]
             self.assertTrue(late)
-        self.assertEqual(self.served_share(recovered_at), 1.0)
+        self.assertEqual(self.fleet.served_share(recovered_at), 1.0)
 
 
 class TestSheddingTargets(PauseCase):
@@ -115,7 +117,7 @@
         """Guards against a later answer that ends the pause of another one."""
         tasks = [
             asyncio.create_task(self._shed(target))
-            for target in self.targets[:4]
+            for target in self.fleet.targets[:4]
         ]
         await self.refuse(0)
         for task in tasks:
@@ -140,4 +142,4 @@
         """Guards against an affinity that goes before the pause."""
         await self.refuse(3, *PAUSES)
         self.assert_paused()
-        self.assertGreaterEqual(self.served_share(self.refused_at), 0.95)
+        self.assertGreaterEqual(self.fleet.served_share(self.refused_at), 0.95)
