Pass over entries of earlier starts when the store comes back from a copy

A target that had restarted under its id and announced that it leaves got one more request of each VM: the copy brought the entry of its earlier start back, of which nothing was known, and the announcement is kept for each start. Such entries in the first listing of a new era are passed over, and the later start stays until it registers again or its entry is removed.

--- a/fuchsiafork/gateway/store_feeds.py
+++ b/fuchsiafork/gateway/store_feeds.py
@@ -77,35 +77,56 @@
     ) -> None:
         """Update a table from the entries that a watcher follows."""
         self.listed = False
+        self._era = 0
         self._table = table
         self._watcher = watcher
         self._clock = clock
         self._log = log
 
     def apply_listing(self, changes: Changes) -> None:
-        """Apply a complete listing; remove targets that it lacks."""
+        """
+        Apply a complete listing; remove targets that it lacks.
+
+        In a new era of the store, an entry may be a copy from before the
+        target restarted. The later start stays until it registers again.
+        """
         present = {_target_id(item) for item in changes.items}
         for target_id in self._table.ids():
             if target_id not in present:
                 self._remove(target_id)
-        self.apply_changes(changes)
+        copied = self.listed and changes.era > self._era
+        self._apply_items(changes.items, copied=copied)
+        self._era = changes.era
         self.listed = True
 
     def apply_changes(self, changes: Changes) -> None:
         """Apply changed and deleted entries."""
-        for item in changes.items:
+        self._apply_items(changes.items)
+
+    def _apply_items(
+        self, items: tuple[Item, ...], *, copied: bool = False
+    ) -> None:
+        """
+        Apply entries.
+
+        :param copied: whether they come from a copy of the store.
+        """
+        for item in items:
             target_id = _target_id(item)
             if item.value is None:
                 self._remove(target_id)
             else:
-                self._upsert(target_id, item.value)
+                self._upsert(target_id, item.value, copied=copied)
 
-    def _upsert(self, target_id: str, value: bytes) -> None:
+    def _upsert(self, target_id: str, value: bytes, *, copied: bool) -> None:
         """Add or update the target of an entry if it is valid."""
         target = read_target(target_id, value)
         if target is None:
             self._log.info('entry_ignored', target=target_id)
             return
+        if copied and self._table.is_outdated(target):
+            self._log.info('entry_outdated', target=target.lifetime)
+            return
         self._table.upsert(target, self._clock.now())
         self._log.info(
             'target_seen',
--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -109,6 +109,18 @@
         state.remove_at = None
         state.availability.record_entry(now, leaving=target.leaving)
 
+    def is_outdated(self, target: Target) -> bool:
+        """Return whether a later start of the target was known."""
+        starts = [0]
+        for lifetime in self._former:
+            target_id, _, start = lifetime.rpartition('@')
+            if target_id == target.target_id:
+                starts.append(int(start))
+        state = self._states.get(target.target_id)
+        if state is not None:
+            starts.append(state.target.started_unix_ms)
+        return 0 < target.started_unix_ms < max(starts)
+
     def ids(self) -> tuple[str, ...]:
         """Return the ids of all targets."""
         return tuple(self._states)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -187,6 +187,25 @@
             await self.look(vm)
         self.assertEqual(leaving.arrivals, arrivals)
 
+    async def test_copy_from_before_a_restart(self) -> None:
+        """Guards against what a target announced since it restarted."""
+        leaving = self.plain[0]
+        self.site.register(leaving, born=STARTED_MS)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        copy = self.store.content.copy()
+        self.site.register(leaving, born=STARTED_MS + 1)
+        leaving.behaviour.leaving = True
+        await asyncio.sleep(APPLY_LIMIT_S)
+        for vm in VMS * REQUESTS:
+            await self.look(vm)
+        self.store.restore(copy, rewrite=False)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        arrivals = leaving.arrivals
+        self.assertGreater(arrivals, 0)
+        for vm in VMS * REQUESTS:
+            await self.look(vm)
+        self.assertEqual(leaving.arrivals, arrivals)
+
 
 class TestRollout(RestoredStoreCase):
     """A version that was taken back after the copy was taken."""
