Measure announcements of targets under random troubles

Targets announce that they are leaving, refuse, restart and lose their entries while the store comes and goes; counted are requests that reach them in spite of it.

--- a/measurements/__main__.py
+++ b/measurements/__main__.py
@@ -6,6 +6,7 @@
 import sys
 
 NAMES = (
+    'announcements',
     'budgets',
     'capacity',
     'demo',
--- a/standins/announcing_fleet.py
+++ b/standins/announcing_fleet.py
@@ -20,11 +20,10 @@
 EVENTS = 3
 SUBJECTS = 40
 OK_STATUS = 200
-FIRST_START_MS = 1000
 # Time from a refusal in which arrivals don't count yet, as it is on its way.
 REFUSAL_DELAY_S = 0.5
 
-# VM and target.
+# VM and start of a target.
 Pair = tuple[str, str]
 
 
@@ -84,7 +83,7 @@
         ]
         await self.site.start(configuration, [])
         for target in self.targets:
-            await self.site.add_target(target, born=FIRST_START_MS)
+            await self.site.add_target(target)
         for number in range(vms):
             domain = DOMAINS[number % len(DOMAINS)]
             await self.site.add_gateway(f'{domain}-{number}', domain)
@@ -128,11 +127,11 @@
         notified_at: dict[Pair, float] = {}
         for event in self.record.announcements:
             vm, _ = self._sent[event.request_id]
-            notified_at.setdefault((vm, event.target_id), event.at)
+            notified_at.setdefault((vm, event.lifetime), event.at)
         late: collections.Counter[Pair] = collections.Counter()
         for arrival in self.record.arrivals:
             vm, sent_at = self._sent[arrival.request_id]
-            pair = (vm, arrival.target_id)
+            pair = (vm, arrival.lifetime)
             if pair in notified_at and sent_at > notified_at[pair] + seconds:
                 late[pair] += 1
         return dict(late)
@@ -146,12 +145,12 @@
         arrivals: dict[Pair, list[float]] = collections.defaultdict(list)
         for arrival in self.record.arrivals:
             vm, _ = self._sent[arrival.request_id]
-            arrivals[vm, arrival.target_id].append(arrival.at)
+            arrivals[vm, arrival.lifetime].append(arrival.at)
         return [
             sum(
                 refusal.at + REFUSAL_DELAY_S < at < refusal.at + pause.seconds
                 for at in arrivals[
-                    self._sent[refusal.request_id][0], refusal.target_id
+                    self._sent[refusal.request_id][0], refusal.lifetime
                 ]
             )
             for pause in self.record.pauses
@@ -195,4 +194,4 @@
         self.exchanges.append(Exchange(sent_at, seconds, reply))
 
 
-__all__ = ('FIRST_START_MS', 'AnnouncingFleet', 'Exchange')
+__all__ = ('AnnouncingFleet', 'Exchange')
--- a/standins/recorded_targets.py
+++ b/standins/recorded_targets.py
@@ -3,10 +3,13 @@
 import contextlib
 import dataclasses
 import time
+from typing import Any
 
 from fuchsiafork.transport.caller import CallerConnection, CallerRequest
 from standins.platform_targets import Behaviour, PlatformTarget
 
+FIRST_START_MS = 1000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetEvent:
@@ -14,10 +17,11 @@
     The arrival of a request, or the head of an answer to one.
 
     :ivar at: time, seconds of the monotonic clock.
+    :ivar lifetime: start of the target.
     """
 
     at: float
-    target_id: str
+    lifetime: str
     request_id: str
 
 
@@ -50,15 +54,25 @@
 
 
 class RecordedTarget(PlatformTarget):
-    """A target that adds to a record."""
+    """
+    A target that adds to a record.
+
+    :ivar started_unix_ms: time of its start, raised when it restarts.
+    """
 
     def __init__(
         self, target_id: str, service: str, domain: str, record: TargetRecord
     ) -> None:
         """Create a target that doesn't listen yet."""
         super().__init__(target_id, service, domain)
+        self.started_unix_ms = FIRST_START_MS
         self._record = record
 
+    @property
+    def entry(self) -> dict[str, Any]:
+        """The entry that the target has in the store."""
+        return {**super().entry, 'born': self.started_unix_ms}
+
     async def _serve(
         self, request: CallerRequest, caller: CallerConnection
     ) -> None:
@@ -81,7 +95,14 @@
 
     def _event(self, request_id: str) -> TargetEvent:
         """Return what happens to a request now."""
-        return TargetEvent(time.monotonic(), self.target_id, request_id)
+        lifetime = f'{self.target_id}@{self.started_unix_ms}'
+        return TargetEvent(time.monotonic(), lifetime, request_id)
 
 
-__all__ = ('Pause', 'RecordedTarget', 'TargetEvent', 'TargetRecord')
+__all__ = (
+    'FIRST_START_MS',
+    'Pause',
+    'RecordedTarget',
+    'TargetEvent',
+    'TargetRecord',
+)
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -78,12 +78,13 @@
         """Guards against a service that shrinks with each replacement."""
         await self.leave(LEAVING_COUNT)
         successor = self.fleet.make_target('u-1', 'a')
-        await self.fleet.site.add_target(successor, born=2000)
+        await self.fleet.site.add_target(successor)
         restarted = self.fleet.targets[0]
         restarted.behaviour = dataclasses.replace(
             restarted.behaviour, leaving=False
         )
-        self.fleet.site.register(restarted, born=3000)
+        restarted.started_unix_ms += 1
+        self.fleet.site.register(restarted)
         restarted_at = time.monotonic()
         await self.fleet.run_load(1.0)
         self.assertTrue(successor.runs)
--- a/tests/test_target_pauses.py
+++ b/tests/test_target_pauses.py
@@ -88,7 +88,8 @@
         await self.refuse(1, '3600')
         self.assert_paused()
         self.recover(self.fleet.targets[0])
-        self.fleet.site.register(self.fleet.targets[0], born=2000)
+        self.fleet.targets[0].started_unix_ms += 1
+        self.fleet.site.register(self.fleet.targets[0])
         await self.fleet.run_load(1.0)
         self.assertTrue(
             any(
