--- a/tests/test_announcement_troubles.py
+++ b/tests/test_announcement_troubles.py
@@ -6,8 +6,8 @@
 from fuchsiafork.observability.logs import configure_logs
 from measurements.announcements import measure
 
-SEED = 1
-LOAD_S = 5.0
+SEED = 5
+LOAD_S = 7.0
 
 
 class TestRandomTroubles(unittest.IsolatedAsyncioTestCase):
