Show each target with the same columns on the status page

The command that prints the page as a table takes its columns from the first row: with a target that gets no requests in another row, source and times were left out, and with one in the first row the command failed.

--- a/fuchsiafork/gateway/pages.py
+++ b/fuchsiafork/gateway/pages.py
@@ -151,10 +151,11 @@
 
 def _describe_status(status: Status, now: float) -> dict[str, Any]:
     """Return the fields of a target's state on the status page."""
-    fields: dict[str, Any] = {'availability': status.availability.value}
-    if not status.accepting:
-        fields['source'] = status.source.value
-        fields['for_s'] = round(now - status.since, 2)
-    if status.availability is Availability.PAUSED:
-        fields['left_s'] = round(status.until - now, 2)
-    return fields
+    accepting = status.accepting
+    paused = status.availability is Availability.PAUSED
+    return {
+        'availability': status.availability.value,
+        'source': None if accepting else status.source.value,
+        'for_s': None if accepting else round(now - status.since, 2),
+        'left_s': round(status.until - now, 2) if paused else None,
+    }
--- a/tests/test_operator_gateways.py
+++ b/tests/test_operator_gateways.py
@@ -9,8 +9,11 @@
 
 from fuchsiafork.operator_cli.__main__ import run
 from fuchsiafork.operator_cli.output import Exit
+from standins.platform_targets import Behaviour
 from tests.gateway_case import GatewayCase, make_configuration
 
+REFUSAL = Behaviour(not_run=True, status=503, retry_after='60')
+
 
 def _run(*arguments: str) -> tuple[int, str]:
     """Return the exit code of a command and its output."""
@@ -35,6 +38,18 @@
         for part in ('configuration 1', 'p-1', 'acme', 'ledger'):
             self.assertIn(part, text)
 
+    async def test_status_with_targets_in_several_states(self) -> None:
+        """Guards against a table whose rows have different columns."""
+        self.plain[0].behaviour = Behaviour(leaving=True)
+        self.plain[1].behaviour = REFUSAL
+        for number in range(6):
+            await self.call('/look/1', request_id=f'r-{number}')
+        address = f'127.0.0.1:{self.gateway._settings.metrics_port}'
+        code, text = await asyncio.to_thread(_run, 'gateway', 'status', address)
+        self.assertEqual(code, Exit.OK, text)
+        for part in ('leaving', 'answer', 'paused', 'refusal', 'accepting'):
+            self.assertIn(part, text)
+
     async def test_status_without_a_listener(self) -> None:
         """Guards against a traceback if nothing listens at the address."""
         arguments = ('gateway', 'status', '127.0.0.1:1')
