--- a/standins/announcing_fleet.py
+++ b/standins/announcing_fleet.py
@@ -12,7 +12,11 @@
 from standins.platform_caller import Call, Reply, call_once
 from standins.platform_site import PlatformSite
 from standins.platform_targets import Behaviour
-from standins.recorded_targets import RecordedTarget, TargetRecord
+from standins.recorded_targets import (
+    RecordedTarget,
+    TargetEvent,
+    TargetRecord,
+)
 
 DOMAINS = 'abc'
 REQUESTS_PER_S = 70.0
@@ -126,12 +130,11 @@
         """
         notified_at: dict[Pair, float] = {}
         for event in self.record.announcements:
-            vm, _ = self._sent[event.request_id]
-            notified_at.setdefault((vm, event.lifetime), event.at)
+            notified_at.setdefault(self._pair(event), event.at)
         late: collections.Counter[Pair] = collections.Counter()
         for arrival in self.record.arrivals:
-            vm, sent_at = self._sent[arrival.request_id]
-            pair = (vm, arrival.lifetime)
+            _, sent_at = self._sent[arrival.request_id]
+            pair = self._pair(arrival)
             if pair in notified_at and sent_at > notified_at[pair] + seconds:
                 late[pair] += 1
         return dict(late)
@@ -144,29 +147,29 @@
         """
         arrivals: dict[Pair, list[float]] = collections.defaultdict(list)
         for arrival in self.record.arrivals:
-            vm, _ = self._sent[arrival.request_id]
-            arrivals[vm, arrival.lifetime].append(arrival.at)
-        return [
-            sum(
-                refusal.at + REFUSAL_DELAY_S < at < refusal.at + pause.seconds
-                for at in arrivals[
-                    self._sent[refusal.request_id][0], refusal.lifetime
-                ]
-            )
-            for pause in self.record.pauses
-            for refusal in (pause.refusal,)
-        ]
-
-    def served_share(self, since: float, until: float | None = None) -> float:
-        """Return the served share of the requests sent in a period."""
+            arrivals[self._pair(arrival)].append(arrival.at)
+        counts = []
+        for pause in self.record.pauses:
+            begins_at = pause.refusal.at + REFUSAL_DELAY_S
+            ends_at = pause.refusal.at + pause.seconds
+            times = arrivals[self._pair(pause.refusal)]
+            counts.append(sum(begins_at < at < ends_at for at in times))
+        return counts
+
+    def served_share(self, since: float) -> float:
+        """Return the served share of the requests sent since a time."""
         chosen = [
             exchange.served
             for exchange in self.exchanges
-            if since <= exchange.sent_at
-            and (until is None or exchange.sent_at < until)
+            if exchange.sent_at >= since
         ]
         return sum(chosen) / len(chosen)
 
+    def _pair(self, event: TargetEvent) -> Pair:
+        """Return the VM whose request an event is about, and the target."""
+        vm, _ = self._sent[event.request_id]
+        return vm, event.lifetime
+
     def _start(self, vm: str) -> None:
         """Send a request while others are served."""
         task = asyncio.create_task(self._send(vm))
