End a lapsed entry on time, not when a periodic task removes it

The record of the target now has the time from which its entry counts as removed, so that the selection and the check before sending heed it without the task. The test failed before.

--- a/fuchsiafork/availability/__init__.py
+++ b/fuchsiafork/availability/__init__.py
@@ -8,6 +8,7 @@
 from fuchsiafork.availability.pause import TRIAL_S
 from fuchsiafork.availability.record import (
     INITIAL_BACKOFF_S,
+    LAPSED_ENTRY_GRACE_S,
     MAX_BACKOFF_S,
     AvailabilityRecord,
 )
@@ -15,6 +16,7 @@
 
 __all__ = (
     'INITIAL_BACKOFF_S',
+    'LAPSED_ENTRY_GRACE_S',
     'MAX_BACKOFF_S',
     'TRIAL_S',
     'Availability',
--- a/fuchsiafork/availability/record.py
+++ b/fuchsiafork/availability/record.py
@@ -12,6 +12,10 @@
 MAX_BACKOFF_S = 4.0
 _MAX_BACKOFF_COUNT = 8
 
+# Time in which a target registers again after its entry lapsed during an outage
+# of the store.
+LAPSED_ENTRY_GRACE_S = 1.8
+
 _ACCEPTING = Status(Availability.ACCEPTING)
 
 
@@ -34,7 +38,8 @@
             distinguishes it from a later one.
         """
         self._start_known = start_known
-        self._gone_since: float | None = None
+        # Time from which the entry counts as removed, seconds.
+        self._gone_at = math.inf
         self._leaving: Status | None = None
         self.backoff_until = -math.inf
         self._backoff_since = -math.inf
@@ -46,10 +51,9 @@
         """Whether the target has announced that it is leaving."""
         return self._leaving is not None
 
-    @property
-    def gone(self) -> bool:
-        """Whether the entry was removed or replaced."""
-        return self._gone_since is not None
+    def gone(self, now: float) -> bool:
+        """Return whether the entry was removed or replaced."""
+        return now >= self._gone_at
 
     def outlasts_entry(self, now: float) -> bool:
         """Return whether the record must be kept without the entry."""
@@ -59,7 +63,7 @@
         """Return whether the target takes requests."""
         return (
             self._leaving is None
-            and self._gone_since is None
+            and now < self._gone_at
             and now >= self.backoff_until
             and now >= self._pause.ends_at
         )
@@ -68,8 +72,8 @@
         """Return the state of the target, with its source."""
         if self.accepts(now):
             return _ACCEPTING
-        if self._gone_since is not None:
-            return Status(Availability.GONE, Source.REGISTRY, self._gone_since)
+        if self.gone(now):
+            return Status(Availability.GONE, Source.REGISTRY, self._gone_at)
         if self._leaving is not None:
             return self._leaving
         return self._longer_pause()
@@ -82,7 +86,7 @@
         same start that says otherwise is from a copy of the store. Where no
         start is known, such an entry is from another one.
         """
-        self._gone_since = None
+        self._gone_at = math.inf
         if leaving:
             self._leave(Source.REGISTRY, now)
         elif self._left_unknown_start():
@@ -90,8 +94,11 @@
 
     def record_removal(self, now: float) -> None:
         """Record that the entry was removed, or replaced by another start."""
-        if self._gone_since is None:
-            self._gone_since = now
+        self._gone_at = min(self._gone_at, now)
+
+    def record_lapse(self, now: float) -> None:
+        """Record that the entry was removed, and may be written again soon."""
+        self._gone_at = min(self._gone_at, now + LAPSED_ENTRY_GRACE_S)
 
     def announce_leaving(self, now: float) -> bool:
         """Record an answer that announces it; return whether that is new."""
@@ -149,4 +156,9 @@
         )
 
 
-__all__ = ('INITIAL_BACKOFF_S', 'MAX_BACKOFF_S', 'AvailabilityRecord')
+__all__ = (
+    'INITIAL_BACKOFF_S',
+    'LAPSED_ENTRY_GRACE_S',
+    'MAX_BACKOFF_S',
+    'AvailabilityRecord',
+)
--- a/fuchsiafork/gateway/targets.py
+++ b/fuchsiafork/gateway/targets.py
@@ -7,9 +7,6 @@
 
 # Weight of the newest attempt in the average of failures.
 FAILURE_EWMA_WEIGHT = 0.25
-# Time in which a target registers again after its entry lapsed during an outage
-# of the store.
-LAPSED_ENTRY_GRACE_S = 1.8
 # Records of removed targets, whose entries may come back with a copy of the
 # store.
 MAX_FORMER_RECORDS = 1000
@@ -51,7 +48,6 @@
         through the target's fault.
     :ivar omits_request_ids: whether it has sent an answer without the id of
         its request, which only a new connection shows to belong to it.
-    :ivar remove_at: time of removal unless the entry is registered again.
     """
 
     target: Target
@@ -61,7 +57,6 @@
     in_flight: int = 0
     failure_share: float = 0.0
     omits_request_ids: bool = False
-    remove_at: float | None = None
 
     def record_attempt(self, *, failed: bool) -> None:
         """Update the failure share with the outcome of an attempt."""
@@ -106,7 +101,6 @@
             state = TargetState(target, record or _make_record(target))
             self._states[target.target_id] = state
         state.target = target
-        state.remove_at = None
         state.availability.record_entry(now, leaving=target.leaving)
 
     def is_outdated(self, target: Target) -> bool:
@@ -139,15 +133,15 @@
             return
         if state.availability.leaving or not may_return:
             self._retire(state, now)
-        elif state.remove_at is None:
-            state.remove_at = now + LAPSED_ENTRY_GRACE_S
+        else:
+            state.availability.record_lapse(now)
 
     def remove_expired(self, now: float) -> list[str]:
         """Remove targets that did not register again; return their ids."""
         expired = [
             state
             for state in self._states.values()
-            if state.remove_at is not None and now >= state.remove_at
+            if state.availability.gone(now)
         ]
         for state in expired:
             self._retire(state, now)
@@ -164,7 +158,7 @@
         self, target: Target, record: AvailabilityRecord, now: float
     ) -> None:
         """Keep the record of a removed target if its entry may come back."""
-        if record.gone and record.outlasts_entry(now):
+        if record.gone(now) and record.outlasts_entry(now):
             self._former[target.lifetime] = record
         if len(self._former) > MAX_FORMER_RECORDS:
             self._former.popitem(last=False)
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -5,6 +5,7 @@
 
 from fuchsiafork.availability import (
     INITIAL_BACKOFF_S,
+    LAPSED_ENTRY_GRACE_S,
     TRIAL_S,
     Availability,
     AvailabilityRecord,
@@ -158,6 +159,20 @@
         status = chosen.availability.status(1.0)
         self.assertIs(status.availability, Availability.GONE)
 
+    def test_lapsed_entry_ends_on_time(self) -> None:
+        """Guards against requests until a periodic task removes the target."""
+        table = TargetTable()
+        table.upsert(FIRST, 0.0)
+        state = table.get('t')
+        assert state is not None
+        table.remove('t', 1.0, may_return=True)
+        last_at = 1.0 + LAPSED_ENTRY_GRACE_S
+        self.assertTrue(state.availability.accepts(last_at - 0.01))
+        self.assertFalse(state.availability.accepts(last_at))
+        self.assertIs(availability(table, last_at), Availability.GONE)
+        table.upsert(FIRST, last_at)
+        self.assertTrue(state.availability.accepts(last_at + 1.0))
+
     def test_registry_is_believed_at_once(self) -> None:
         """Guards against a registry that is heeded less than an answer."""
         table = TargetTable()
