--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import random
@@ -17,12 +18,46 @@
 sys.path[:0] = [str(ROOT), str(ROOT / 'target' / 'deps')]
 
 from fuchsiafork.kernel import SystemClock  # noqa: E402
-from standins.platform_store import PlatformStoreServer  # noqa: E402
+from standins.platform_store import Lease, PlatformStoreServer  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
+class Store(PlatformStoreServer):
+    """The project's stand-in of the store; leases have ids of their own."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self._lease_ids = itertools.count(77_000)
+        self._cuts = {}
+
+    def cut_watches(self, prefix):
+        """Cut the watches of a prefix that wait now."""
+        self._cuts.pop(prefix, asyncio.Event()).set()
+
+    async def _watch(self, query, body):
+        cut = self._cuts.setdefault(query['prefix'], asyncio.Event())
+        answer = asyncio.create_task(super()._watch(query, body))
+        waiter = asyncio.create_task(cut.wait())
+        try:
+            await asyncio.wait(
+                (answer, waiter), return_when=asyncio.FIRST_COMPLETED
+            )
+            return (-1, {}) if waiter.done() else answer.result()
+        finally:
+            waiter.cancel()
+            answer.cancel()
+
+    async def _grant_lease(self, query, body):
+        lease = next(self._lease_ids)
+        ttl_ms = max(1000, int(body['ttlMs']))
+        self.content.leases[lease] = Lease(
+            ttl_ms, self._clock.now() + ttl_ms / 1000
+        )
+        return 200, {'lease': lease, 'ttlMs': ttl_ms}
+
+
 class Record:
     """Lines of record.txt, with seconds since the start."""
 
@@ -160,7 +195,7 @@
         self.record = Record(folder)
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = self._temporary.name
-        self.store = PlatformStoreServer(SystemClock())
+        self.store = Store(SystemClock())
         self.gateways = []
 
     async def start(self, document, entries):
@@ -227,6 +262,8 @@
     async def limited():
         async with asyncio.timeout(115):
             return await main(folder)
+    # So that the processes of a case end with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         result = asyncio.run(limited())
     except Exception as error:  # the case couldn't run
