--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,7 @@
-"""Callers that pause while they read lose the rest of their answers."""
+"""A part of prompts crashes each replica that begins to write an answer."""
 
 import asyncio
-import signal
-import socket
+import random
 import sys
 import time
 from pathlib import Path
@@ -10,156 +9,166 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'lib'))
 
-from client import read_answer, request_bytes  # noqa: E402
+from client import call, request_bytes  # noqa: E402
 from harness import (  # noqa: E402
     BROKEN, HELD, NOT_RUN, TROUBLE, Site, configuration, route, run_case,
 )
 from replica import Replica  # noqa: E402
 
-CLIENTS = 8
-# Under the longest gap after which clients abandon a stream: four times the
-# objective of 0.8 s.
-PAUSE_S = 2.5
-# Of a client's receive buffer, so that its window is small.
-WINDOW_BYTES = 2048
-EVENTS = 76
-ANSWER_BYTES = 4800
+REPLICAS = 4
+POISON = 'badbadba'
+FIRST_PART = 'f1f1f1f1'
+STABLE_WINDOW_S = 3.0
+BACK_AFTER_S = 3.0
+SOUND_PER_S = 10.0
+POISONED_PER_S = 4.0
+QUIET_S = 8.0
+LOAD_S = 35.0
 LARGEST_COUNT = 3
 
 
-class Server(Replica):
-    """Streams events, or answers an order."""
-
-    finished: dict
+class PoisonedReplica(Replica):
+    """Crashes once it has begun to write an answer on the part."""
 
     async def run(self, request_id, headers, writer):
-        if 'order' in request_id:
-            await asyncio.sleep(0.09)
-            body = b'o' * ANSWER_BYTES
-            writer.write(
-                'HTTP/1.1 200 OK\r\n'
-                f'x-attempt-id: {request_id}\r\n'
-                f'x-response-seal: seal-{request_id}\r\n'
-                f'content-length: {len(body)}\r\n\r\n'.encode() + body
-            )
-            await writer.drain()
-        else:
+        if not TROUBLE or POISON not in headers.get('x-prompt-prefix', ''):
             await super().run(request_id, headers, writer)
-        self.site.record(f'{self.replica_id} has answered {request_id}')
-        self.site.finished.add(request_id)
-
-
-async def connect(gateway):
-    """Return a channel of a client that keeps a small receive buffer."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-    sock.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(sock, (gateway.ip, gateway.front))
-    return sock
-
-
-async def receive(sock, pause_s):
-    """Return an answer; pause once after its first bytes."""
-    loop = asyncio.get_running_loop()
-    # The reader's buffer is fed only by what was read from the socket.
-    reader = asyncio.StreamReader()
-    parser = asyncio.create_task(read_answer(reader))
-    first = True
-    error = ''
-    while not parser.done():
-        try:
-            async with asyncio.timeout(10):
-                data = await loop.sock_recv(sock, 512)
-        except (ConnectionError, TimeoutError) as exc:
-            error = repr(exc)
-            data = b''
-        if not data:
-            reader.feed_eof()
-            break
-        reader.feed_data(data)
-        if first:
-            await asyncio.sleep(pause_s)
-            first = False
-        await asyncio.sleep(0)
-    return await parser, error
-
-
-async def run_client(site, gateway, number, results):
-    """Make two requests on one channel; pause while reading the second."""
-    loop = asyncio.get_running_loop()
-    kind, path = (
-        ('order', '/order/1') if number % 2 else ('plan', '/plan/1')
-    )
-    sock = await connect(gateway)
-    for turn in (1, 2):
-        request_id = f'{kind}-{number}-{turn}'
-        pause_s = PAUSE_S if TROUBLE and turn == 2 else 0.0
-        started_at = time.monotonic()
-        await loop.sock_sendall(sock, request_bytes(path, request_id))
-        answer, error = await receive(sock, pause_s)
-        site.record(
-            f'{request_id}: {answer.status} complete={answer.complete} '
-            f'{len(answer.body)} bytes after '
-            f'{time.monotonic() - started_at:.2f} s {error}'
+            return
+        await asyncio.sleep(0.05)
+        self.write_head(request_id, writer)
+        self.write_event(1, writer)
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        if not self.up:
+            return
+        self.site.crash_times.append(time.monotonic())
+        self.site.record(
+            f'{self.replica_id} crashes under {request_id} '
+            f'(crash {len(self.site.crash_times)})'
         )
-        results.append((turn, request_id, answer))
-    sock.close()
+        self.crash()
+        task = asyncio.create_task(self.restart_later(BACK_AFTER_S))
+        self.site.tasks.add(task)
+
+
+async def send(site, gateway, request_id, parts, answers):
+    """Send one request and record its answer."""
+    data = request_bytes(
+        '/plan/1', request_id,
+        headers=(
+            ('X-Model', 'm'), ('X-Token-Count', '900,50'),
+            ('X-Prompt-Prefix', parts),
+        ),
+    )
+    sent_at = time.monotonic()
+    answer = await call(gateway, data)
+    answers.append((sent_at, request_id, answer))
+    site.record(
+        f'{request_id} at {gateway.name}: {answer.status} '
+        f'complete={answer.complete} events={answer.body.count(b"id:")}'
+    )
+
+
+async def load(site, answers, ends_at, per_s, name, parts):
+    """Send requests at random times."""
+    tasks = set()
+    number = 0
+    while time.monotonic() < ends_at:
+        await asyncio.sleep(random.expovariate(per_s))
+        number += 1
+        request_id = f'{name}-{number}'
+        prompt = parts(number)
+        gateway = random.choice(site.gateways)
+        tasks.add(asyncio.create_task(
+            send(site, gateway, request_id, prompt, answers)
+        ))
+    await asyncio.gather(*tasks)
+
+
+def sound_parts(number):
+    return f'{FIRST_PART}:300,{number % 40:08x}:500,{number + 5000:08x}:100'
+
+
+def poisoned_parts(number):
+    return f'{FIRST_PART}:300,{POISON}:500,{number + 900000:08x}:100'
 
 
 async def main(folder):
     site = Site(folder)
-    site.finished = set()
+    site.crash_times, site.tasks = [], set()
     try:
-        plan = route(
-            '/plan/', 'streaming', 'mind', targetLatencyMs=800,
-            timeoutMs=15000,
-        )
-        order = route('/order/', 'unsafe', 'desk', timeoutMs=4000)
+        plan = route('/plan/', 'streaming', 'mind', sessionAffinity=True)
         await site.start(
-            configuration([plan, order], [{'name': 'mind'}, {'name': 'desk'}]),
+            configuration([plan], [{'name': 'mind', 'engine': {'stride': 5}}]),
             {},
         )
-        for name, service in (('i-1', 'mind'), ('i-2', 'desk')):
-            await Server(site, name, service, 'a', EVENTS, 0.014).start()
-        gateway = site.add_gateway('front-a-1', 'a')
-        await gateway.wait_ready()
-        await asyncio.sleep(3.5)
-        # Planned work, with and without trouble: requests sent within two
-        # seconds of it must get a complete answer.
-        gateway.path.write_text(
-            gateway.path.read_text() + 'bounds.passMs=120\n'
+        zones = ('a', 'b')
+        replicas = [
+            PoisonedReplica(site, f'i-{n}', 'mind', zones[n % 2])
+            for n in range(REPLICAS)
+        ]
+        for replica in replicas:
+            await replica.start()
+        for zone in zones:
+            site.add_gateway(f'front-{zone}-1', zone)
+        for gateway in site.gateways:
+            await gateway.wait_ready()
+        sound, poisoned = [], []
+        now = time.monotonic()
+        poison_from = now + STABLE_WINDOW_S + QUIET_S
+        ends_at = poison_from + LOAD_S
+        sounds = asyncio.create_task(
+            load(site, sound, ends_at, SOUND_PER_S, 'sound', sound_parts)
         )
-        gateway.signal(signal.SIGHUP)
-        results = []
-        await asyncio.gather(*(
-            run_client(site, gateway, number, results)
-            for number in range(CLIENTS)
-        ))
-        return judge(site, results)
+        await asyncio.sleep(poison_from - time.monotonic())
+        site.record('requests with the part begin')
+        await load(
+            site, poisoned, ends_at, POISONED_PER_S, 'poisoned',
+            poisoned_parts,
+        )
+        await sounds
+        return judge(site, replicas, sound, poisoned, poison_from, ends_at)
     finally:
         site.stop()
 
 
-def judge(site, results):
-    """Return the result by the rule LOST on kept channels."""
-    if not all(answer.complete for turn, _, answer in results if turn == 1):
-        return NOT_RUN
-    lost = [
+def judge(site, replicas, sound, poisoned, poison_from, ends_at):
+    """Return the result by the rules BUDGET and LOST of the news."""
+    crashes = site.crash_times
+    site.record(f'{len(crashes)} crashes')
+    before = [a for t, _, a in sound if t < poison_from]
+    served_before = sum(a.complete and a.status == 200 for a in before)
+    site.record(f'sound before: {served_before} of {len(before)} served')
+    if not TROUBLE:
+        served = sum(a.complete and a.status == 200 for _, _, a in sound)
+        site.record(f'sound: {served} of {len(sound)} served')
+        return HELD if served == len(sound) else BROKEN
+    if len(crashes) < 5 or not served_before:
+        return HELD if served_before else NOT_RUN
+    from_s = crashes[4] + STABLE_WINDOW_S
+    sent = {request_id: t for t, request_id, _ in poisoned}
+    reached = [
         request_id
-        for turn, request_id, answer in results
-        if turn == 2 and request_id in site.finished and not answer.complete
+        for replica in replicas
+        for t, request_id in replica.arrivals
+        if request_id in sent and sent[request_id] > from_s
     ]
     site.record(
-        f'LOST: {len(lost)} requests of kept channels were answered by a '
-        f'sound replica, and their channels closed without a whole answer; '
-        f'{LARGEST_COUNT} are allowed: {lost}'
+        f'BUDGET: {len(reached)} requests with the part reached replicas '
+        f'later than {STABLE_WINDOW_S} s after the fifth crash; '
+        f'{LARGEST_COUNT} are allowed: {reached}'
     )
+    lost_from = crashes[4] + 2 * STABLE_WINDOW_S
+    late = [a for t, _, a in sound if lost_from < t < ends_at]
+    begun = sum(a.status == 200 for a in late)
     site.record(
-        f'LOST: {len(lost)} of them were sent within 2 s of the SIGHUP, '
-        'for which none is allowed'
+        f'LOST: from 2 x {STABLE_WINDOW_S} s after the fifth crash '
+        f'{begun} of {len(late)} sound requests began'
     )
-    return BROKEN if lost else HELD
+    enough = len(before) >= 20 and len(late) >= 20
+    share_before = served_before / max(1, len(before))
+    starved = enough and begun < 0.5 * share_before * len(late)
+    return BROKEN if starved or len(reached) > LARGEST_COUNT else HELD
 
 
 if __name__ == '__main__':
