--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -347,9 +347,14 @@
             broken=failure.broken,
             begun=failure.begun,
             parts=','.join(self._answer_relay.shared_parts),
+            suspects=','.join(self._suspects(failure)),
             request=self._answer_relay.request_part if failure.broken else '',
         )
 
+    def _suspects(self, failure: Failure) -> tuple[str, ...]:
+        """Return the parts under which the target ended, if it did."""
+        return self._answer_relay.suspects if failure.broken else ()
+
     async def _may_try_another(
         self, state: TargetState, failure: Failure
     ) -> bool:
--- a/fuchsiafork/gateway/request_quarantine.py
+++ b/fuchsiafork/gateway/request_quarantine.py
@@ -152,7 +152,11 @@
         for part in _ids(parts):
             self._ends.acquit(part)
             urgent = bool(self._evidence.quarantined((part,)))
+            ends = self._evidence.ends(part)
             if self._evidence.begin(part):
+                self._log.info(
+                    'part_acquitted', part=part, ends=ends, quarantined=urgent
+                )
                 self._schedule_acquittal(part, urgent=urgent)
 
     def record_answered(self, part: str) -> None:
