Suspect parts until an answer on them is whole and its target lives on

Cause: the first event of an answer took the shared parts out of suspicion and acquitted them everywhere, so that each request which ended one target released the part for the next.

An event proves that the target lived when it wrote it, no more. All parts of all answers under way are now suspected with how far each answer had got. An answer acquits once it is whole and its target has lived on for a second, for ends within its own length; a stream that goes on, for ends far before its place. Answers of the last second are suspected when their target ends, which an idle connection, another request or another VM tells. Acquittals name the report up to which they hold. What is proven is said in one place, and each attempt reports to it; the callbacks for begun and answered are gone.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -8,6 +8,7 @@
     EventStreamParser,
     OversizedEventError,
 )
+from fuchsiafork.gateway.observed_answer import ObservedAnswer
 from fuchsiafork.gateway.silence_policy import SilencePolicy, read_with_timeout
 from fuchsiafork.gateway.target_call import (
     AnswerHead,
@@ -100,18 +101,12 @@
         account: str,
         event_tokens: int,
         request_part: str,
-        on_begun: Callable[[tuple[str, ...]], None],
-        on_answered: Callable[[str], None],
         on_head: Callable[[Target, wire.ResponseMetadata], None],
     ) -> None:
         """
         Start before the first attempt.
 
         :param request_part: part that stands for the whole request.
-        :param on_begun: called with the shared prompt parts when a target has
-            begun to answer.
-        :param on_answered: called with the part of the request when a target
-            has run it to its end.
         :param on_head: called with each target that answers, and with the
             metadata of its answer; not for another target at a reused
             address.
@@ -124,8 +119,6 @@
         self._metadata = metadata
         self._account = account
         self._event_tokens = event_tokens
-        self._on_begun = on_begun
-        self._on_answered = on_answered
         self.request_part = request_part
         self._event_parser = EventStreamParser()
         self._events_before_attempt = 0
@@ -144,17 +137,6 @@
         """Ids of the prompt parts that other requests may share."""
         return self._metadata.shared_parts
 
-    @property
-    def suspects(self) -> tuple[str, ...]:
-        """Parts under which a target ends if it ends in this attempt."""
-        parts = () if self._begun else self.shared_parts
-        return (*parts, self.request_part)
-
-    @property
-    def _begun(self) -> bool:
-        """Whether the target has sent an event in this attempt."""
-        return self._event_parser.event_count > self._events_before_attempt
-
     @property
     def cost(self) -> int:
         """Tokens of the prompt and of the stream events forwarded so far."""
@@ -165,12 +147,14 @@
     async def attempt(
         self,
         call: TargetCall,
+        observed: ObservedAnswer,
         remaining_s: float,
         silence_policy: SilencePolicy,
     ) -> Failure | None:
         """
         Return why the attempt failed, None once the answer was sent.
 
+        :param observed: is told how far the answer has got.
         :param silence_policy: decides how long the target may be silent.
         """
         self._silence_policy = silence_policy
@@ -189,12 +173,12 @@
                 NoTargetError(str(error)), possibly_sent=False, withdrawn=True
             )
         except BrokenAnswerError as error:
-            return self._interrupted_failure(call, error)
+            return self._interrupted_failure(call, observed, error)
         previously_may_have_run, self.may_have_run = self.may_have_run, True
         try:
-            failure = await self._relay_answer(call)
+            failure = await self._relay_answer(call, observed)
         except BrokenAnswerError as error:
-            return self._interrupted_failure(call, error)
+            return self._interrupted_failure(call, observed, error)
         if failure is not None and failure.not_run:
             self.may_have_run = previously_may_have_run
         return failure
@@ -222,7 +206,9 @@
             require_fresh=require_fresh,
         )
 
-    async def _relay_answer(self, call: TargetCall) -> Failure | None:
+    async def _relay_answer(
+        self, call: TargetCall, observed: ObservedAnswer
+    ) -> Failure | None:
         """Return why the answer is not forwarded, None once it has been."""
         head = await self._read_head(call)
         if not head.misdirected:
@@ -231,17 +217,17 @@
         if head.success:
             _require_unaltered(head)
             if content_type.startswith(_EVENT_STREAM):
-                await self._relay_events(call, head)
+                await self._relay_events(call, observed, head)
                 return None
         body = await call.read_body(MAX_BUFFERED_ANSWER_BYTES)
         answer = BufferedAnswer(head, body)
         failure = classify_answer(answer)
         if failure is None or not failure.not_run:
-            self._on_answered(self.request_part)
+            observed.record_whole(
+                success=head.success and not self._caller.started
+            )
         if self._caller.started:
             return _stream_failure(failure, head)
-        if head.success:
-            self._on_begun(self.shared_parts)
         if failure is None:
             self.forward(answer)
         return failure
@@ -262,7 +248,9 @@
             return None
         return urgency_rank(self._metadata.prompt_tokens)
 
-    async def _relay_events(self, call: TargetCall, head: AnswerHead) -> None:
+    async def _relay_events(
+        self, call: TargetCall, observed: ObservedAnswer, head: AnswerHead
+    ) -> None:
         """
         Forward complete events of a stream as they arrive.
 
@@ -270,18 +258,18 @@
         """
         chunk = await self._read_chunk(call)
         while chunk:
-            begun = self._begun
             events = self._parse_events(chunk)
             if events:
-                if not begun:
-                    self._on_begun(self.shared_parts)
+                observed.record_events(
+                    self._event_parser.event_count - self._events_before_attempt
+                )
                 self._send_head(head)
                 self._caller.write(events)
                 await self._caller.drain()
             chunk = await self._read_chunk(call)
         if self._event_parser.discard_partial_event():
             raise BrokenAnswerError('the stream ended within an event')
-        self._on_answered(self.request_part)
+        observed.record_whole(success=True)
         self._send_head(head)
         self._caller.finish()
 
@@ -311,7 +299,10 @@
             self._caller.begin(head.status, headers)
 
     def _interrupted_failure(
-        self, call: TargetCall, error: BrokenAnswerError
+        self,
+        call: TargetCall,
+        observed: ObservedAnswer,
+        error: BrokenAnswerError,
     ) -> Failure:
         """Return the failure for a connection that broke during an attempt."""
         self._event_parser.discard_partial_event()
@@ -329,7 +320,7 @@
             silent=error.silent,
             target_at_fault=not call.stale_connection,
             broken=not error.silent,
-            begun=self._begun,
+            begun=observed.begun,
         )
 
 
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -246,6 +246,7 @@
         dependencies.metrics,
         log,
     )
+    dependencies.pool.on_lost = quarantine.record_lost_connection
     limits = TargetLimits(fleet, targets, clock, dependencies.metrics, log)
     return SharedState(
         clock=clock,
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -39,8 +39,8 @@
         )
         self.ended_targets = prom.Counter(
             'fuchsiafork_gateway_ended_targets',
-            'Targets whose process ended before it had begun to answer a '
-            'prompt of this VM.',
+            'Targets whose process ended while it answered a request of this '
+            'VM, or right after it.',
             registry=self.registry,
         )
         self.quarantined_parts = prom.Gauge(
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -5,12 +5,13 @@
 from fuchsiafork.availability import Source
 from fuchsiafork.gateway.answer_relay import AnswerRelay, Failure
 from fuchsiafork.gateway.configuration import Route
+from fuchsiafork.gateway.observed_answer import ObservedAnswer
 from fuchsiafork.gateway.request_record import RequestRecord
 from fuchsiafork.gateway.shared_state import SharedState
 from fuchsiafork.gateway.silence_policy import SilencePolicy
 from fuchsiafork.gateway.target_call import TargetCall
 from fuchsiafork.gateway.target_selection import SelectionCriteria
-from fuchsiafork.gateway.targets import TargetState
+from fuchsiafork.gateway.targets import Target, TargetState
 from fuchsiafork.gateway.tried_targets import TriedTargets
 from fuchsiafork.kernel.errors import (
     FuchsiaforkError,
@@ -59,6 +60,8 @@
         self._sent = False
         # Target of the attempt in progress.
         self._state: TargetState | None = None
+        # The answer of the last attempt.
+        self._observed: ObservedAnswer | None = None
         self._silence_policy = SilencePolicy(route, self._may_give_up)
         # Whether the fleet has allowed the next attempt already.
         self._retry_acquired = False
@@ -149,11 +152,16 @@
         :raises QuarantinedError: if it may not.
         """
         if self._probe is None:
-            relay = self._answer_relay
             self._probe = await self._shared.quarantine.admit(
-                (*relay.shared_parts, relay.request_part), state.target
+                self._parts, state.target
             )
 
+    @property
+    def _parts(self) -> tuple[str, ...]:
+        """Shared parts of the prompt, and the part of the request last."""
+        relay = self._answer_relay
+        return (*relay.shared_parts, relay.request_part)
+
     async def _attempt(
         self, state: TargetState, deadline: float
     ) -> Failure | None:
@@ -162,6 +170,8 @@
         call = TargetCall(state, shared.pool, shared.clock)
         remaining_s = max(0.0, deadline - shared.clock.now())
         self._state = state
+        observed = shared.quarantine.observe(self._parts, state.target)
+        self._observed = observed
         self._silence_policy.start_attempt()
         state.in_flight += 1
         shared.log.info(
@@ -175,7 +185,7 @@
         outcome = 'given_up'
         try:
             failure = await self._answer_relay.attempt(
-                call, remaining_s, self._silence_policy
+                call, observed, remaining_s, self._silence_policy
             )
             outcome = str(failure.error.code) if failure else 'served'
         finally:
@@ -307,14 +317,18 @@
         if failure.unreachable and not failure.stale_connection:
             state.availability.back_off(now)
             self._shared.pool.drop(target.address)
-        if failure.broken:
-            self._shared.quarantine.record_broken(
-                self._answer_relay.suspects, target
-            )
+        self._report_end(target, failure)
         if failure.silent:
             reachability = self._shared.reachability
             reachability.record_no_answer(target.domain, target.target_id, now)
 
+    def _report_end(self, target: Target, failure: Failure) -> None:
+        """Report that a target may have ended."""
+        if failure.broken and self._observed is not None:
+            self._observed.record_broken()
+        elif failure.unreachable and not failure.possibly_sent:
+            self._shared.quarantine.record_lost_connection(target.address)
+
     def _log_withdrawn(self, state: TargetState) -> None:
         """Log and count an attempt whose target stopped accepting."""
         status = self._shared.target_gate.status(state)
@@ -347,14 +361,10 @@
             broken=failure.broken,
             begun=failure.begun,
             parts=','.join(self._answer_relay.shared_parts),
-            suspects=','.join(self._suspects(failure)),
+            events=self._observed.events if self._observed else 0,
             request=self._answer_relay.request_part if failure.broken else '',
         )
 
-    def _suspects(self, failure: Failure) -> tuple[str, ...]:
-        """Return the parts under which the target ended, if it did."""
-        return self._answer_relay.suspects if failure.broken else ()
-
     async def _may_try_another(
         self, state: TargetState, failure: Failure
     ) -> bool:
@@ -373,7 +383,7 @@
     async def _may_repeat(self, state: TargetState) -> bool:
         """Return whether the request is not suspected of ending targets."""
         return self._probe is None and await self._shared.quarantine.may_repeat(
-            self._answer_relay.suspects, state.target
+            self._parts, state.target
         )
 
 
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -107,8 +107,6 @@
             account=self._record.account,
             event_tokens=service.event_tokens if service else 0,
             request_part=part,
-            on_begun=self._shared.quarantine.record_begun,
-            on_answered=self._shared.quarantine.record_answered,
             on_head=self._shared.announcements.record,
         )
         priority = route.priority
--- a/fuchsiafork/gateway/target_ends.py
+++ b/fuchsiafork/gateway/target_ends.py
@@ -6,7 +6,12 @@
 from typing import Any
 
 from fuchsiafork.gateway.targets import Target, TargetTable
-from fuchsiafork.quarantine import EndCollection, PendingEnd
+from fuchsiafork.quarantine import (
+    EVERYTHING,
+    EndCollection,
+    PendingEnd,
+    Progress,
+)
 from fuchsiafork.transport.client_connection import ConnectError, connect
 
 # Time after a connection broke in which a process that ended has closed its
@@ -18,11 +23,11 @@
 END_CHECKS = 3
 # Longest time that a request waits for such checks before it is repeated.
 MAX_CHECK_WAIT_S = 0.2
-# Time in which answers that begin elsewhere acquit parts, before a report.
+# Time in which answers elsewhere acquit parts, before a report.
 COLLECTION_S = 0.4
 
-# Called with the start of a target that ended, and the parts suspected.
-Report = Callable[[str, tuple[str, ...]], None]
+# Called with the end of a target and the parts suspected.
+Report = Callable[[PendingEnd], None]
 
 
 class TargetEnds:
@@ -42,22 +47,54 @@
         self._reports: set[asyncio.Task[None]] = set()
         # Set once it is known whether a target has ended, by its lifetime.
         self._checks: dict[str, asyncio.Event] = {}
+        self._closed = False
 
-    def record(self, parts: tuple[str, ...], target: Target) -> None:
-        """Record that a connection broke before the answer to a request."""
-        end = self._collection.add(target.lifetime, parts)
+    def __len__(self) -> int:
+        """Return the number of targets that may have ended."""
+        return len(self._collection)
+
+    def record(
+        self, parts: tuple[str, ...], target: Target, progress: Progress
+    ) -> None:
+        """
+        Record that a connection to a target broke.
+
+        :param parts: parts of a request on which it wrote an answer.
+        :param progress: how far that answer had got.
+        """
+        if self._closed:
+            return
+        end = self._collection.add(target.lifetime, parts, progress)
         if end is not None:
             task = asyncio.create_task(self._report(end, target))
             self._reports.add(task)
             task.add_done_callback(self._reports.discard)
 
+    def open(self) -> None:
+        """Check ends from now on, as it does at first."""
+        self._closed = False
+
+    def close(self) -> None:
+        """Check and report no further ends, as the process stops."""
+        self._closed = True
+        for task in self._reports:
+            task.cancel()
+
     def record_alive(self, target: Target) -> None:
         """Record that a target answers after a connection to it broke."""
         self._collection.discard(target.lifetime)
 
-    def acquit(self, part: str) -> None:
-        """Record that a target has answered on a part."""
-        self._collection.acquit(part)
+    def acquit(self, part: str, harmless: Progress = EVERYTHING) -> None:
+        """
+        Record that an answer shows a part to be harmless.
+
+        :param harmless: up to where.
+        """
+        self._collection.acquit(part, harmless)
+
+    def is_known(self, lifetime: str) -> bool:
+        """Return whether a target may have ended."""
+        return self._collection.is_known(lifetime)
 
     def is_suspected(self, part: str, lifetime: str) -> bool:
         """Return whether a part is suspected for another target's end."""
@@ -86,7 +123,8 @@
         if not end.confirmed:
             return
         await asyncio.sleep(COLLECTION_S)
-        self._report_end(end.lifetime, self._collection.pop(end))
+        self._collection.pop(end)
+        self._report_end(end)
 
     async def _check(self, end: PendingEnd, target: Target) -> None:
         """Confirm the end of a target, or remove it."""
--- a/fuchsiafork/quarantine/collection.py
+++ b/fuchsiafork/quarantine/collection.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Iterable
 
+from fuchsiafork.quarantine.progress import EVERYTHING, START, Progress
+
 
 @dataclasses.dataclass(slots=True)
 class PendingEnd:
@@ -10,12 +12,12 @@
     The end of a target, seen by this VM and not yet reported.
 
     :ivar lifetime: start of the target that ended.
-    :ivar parts: parts under suspicion.
+    :ivar parts: parts under suspicion, with how far their answers had got.
     :ivar confirmed: whether the target was found to have ended.
     """
 
     lifetime: str
-    parts: dict[str, None]
+    parts: dict[str, Progress]
     confirmed: bool = False
 
 
@@ -26,20 +28,38 @@
         """Start without ends."""
         self._pending: dict[str, PendingEnd] = {}
 
-    def add(self, lifetime: str, parts: tuple[str, ...]) -> PendingEnd | None:
-        """Add suspected parts; return the end if it is a new one."""
+    def __len__(self) -> int:
+        """Return the number of targets that may have ended."""
+        return len(self._pending)
+
+    def add(
+        self,
+        lifetime: str,
+        parts: Iterable[str],
+        progress: Progress = START,
+    ) -> PendingEnd | None:
+        """
+        Add suspected parts; return the end if it is a new one.
+
+        :param progress: how far the answer on them had got.
+        """
         known = self._pending.get(lifetime)
-        if known is not None:
-            known.parts.update(dict.fromkeys(parts))
-            return None
-        end = PendingEnd(lifetime, dict.fromkeys(parts))
+        end = known or PendingEnd(lifetime, {})
         self._pending[lifetime] = end
-        return end
+        for part in parts:
+            end.parts[part] = progress.join(end.parts.get(part, progress))
+        return None if known else end
+
+    def acquit(self, part: str, harmless: Progress = EVERYTHING) -> None:
+        """
+        Remove a part that an answer shows to be harmless.
 
-    def acquit(self, part: str) -> None:
-        """Remove a part on which an answer has begun."""
+        :param harmless: up to where.
+        """
         for end in self._pending.values():
-            end.parts.pop(part, None)
+            progress = end.parts.get(part)
+            if progress is not None and harmless.covers(progress):
+                end.parts.pop(part)
 
     def is_suspected(self, part: str, lifetime: str) -> bool:
         """Return whether a part is suspected for another target's end."""
@@ -64,6 +84,10 @@
         """Remove the end of a target that turned out to live."""
         self._pending.pop(lifetime, None)
 
+    def is_known(self, lifetime: str) -> bool:
+        """Return whether a target may have ended."""
+        return lifetime in self._pending
+
     def is_pending(self, end: PendingEnd) -> bool:
         """Return whether an end was neither reported nor removed."""
         return self._pending.get(end.lifetime) is end
--- a/fuchsiafork/quarantine/evidence.py
+++ b/fuchsiafork/quarantine/evidence.py
@@ -1,14 +1,18 @@
 """Targets that ended under each part of requests, as one VM knows them."""
 
 import dataclasses
-import math
-from collections.abc import Iterable
-
-# Ends of different targets that put a part into quarantine.
-QUARANTINE_ENDS = 3
-# Requests that may be sent to show that a part in quarantine is harmless.
-# No further one is sent once a target has ended under one of them.
-MAX_PROBES = 6
+from collections.abc import Iterable, Mapping
+from collections.abc import Set as AbstractSet
+
+from fuchsiafork.quarantine.progress import EVERYTHING, START, Progress
+from fuchsiafork.quarantine.suspect import (
+    MAX_PROBES,
+    QUARANTINE_ENDS,
+    UNWRITTEN,
+    PartEnd,
+    Suspect,
+)
+
 # Time between the first two probes; doubles with each further one.
 PROBE_INTERVAL_S = 10.0
 # A part is forgotten this long after its last end or refusal.
@@ -17,8 +21,6 @@
 RENEWAL_S = 300.0
 # Parts remembered at most.
 MAX_SUSPECTS = 4096
-# Revision of what this VM has seen, until it is in the store.
-UNWRITTEN = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,82 +37,32 @@
     number: int
 
 
-@dataclasses.dataclass(slots=True)
-class _Suspect:
-    """
-    What is known of one part.
-
-    :ivar ends: revision of the report of each end, by the target's lifetime.
-    :ivar quarantined_revision: revision of the announcement, 0 without one.
-    :ivar cleared_revision: revision after which ends count.
-    :ivar news_at: time of the last end, announcement or refusal, seconds.
-    :ivar announced_at: time of the last report from the store, seconds.
-    :ivar next_probe_at: time at which the next probe may be sent, seconds.
-    :ivar probed_lifetime: start of the target that got the last probe.
-    """
-
-    news_at: float
-    announced_at: float
-    ends: dict[str, float] = dataclasses.field(default_factory=dict)
-    quarantined_revision: int = 0
-    cleared_revision: int = 0
-    probes: int = 0
-    next_probe_at: float = -math.inf
-    probed_lifetime: str = ''
-
-    @property
-    def quarantined(self) -> bool:
-        """Whether no target may get the part but for a probe."""
-        return bool(
-            self.quarantined_revision or len(self.ends) >= QUARANTINE_ENDS
-        )
-
-    @property
-    def exhausted(self) -> bool:
-        """Whether no further probe is sent."""
-        ended_target = self.probed_lifetime in self.ends
-        return ended_target or self.probes >= MAX_PROBES
-
-    @property
-    def series(self) -> int:
-        """First revision of the evidence, 0 if none of it is stored."""
-        written = [
-            int(revision)
-            for revision in self.ends.values()
-            if revision != UNWRITTEN
-        ]
-        if self.quarantined_revision:
-            written.append(self.quarantined_revision)
-        return min(written, default=0)
-
-    def clear(self, revision: int) -> None:
-        """Drop the evidence up to a revision."""
-        self.cleared_revision = max(self.cleared_revision, revision)
-        self.ends = {
-            lifetime: known
-            for lifetime, known in self.ends.items()
-            if known > revision
-        }
-        if self.quarantined_revision <= revision:
-            self.quarantined_revision = 0
-        self.probes = 0
-        self.next_probe_at = -math.inf
-        self.probed_lifetime = ''
-
-
 class PartEvidence:
     """
     Decides which parts are in quarantine.
 
     The end of a target counts once, however many VMs and requests saw it. An
-    answer that begins on a part removes the ends reported before.
+    answer whose target lives on removes the ends before that came at places
+    which it has passed.
     """
 
     def __init__(self) -> None:
         """Start without evidence."""
-        self._suspects: dict[str, _Suspect] = {}
+        self._suspects: dict[str, Suspect] = {}
+        # Parts with ends, or in quarantine.
+        self._suspected: set[str] = set()
         self._revision = 0
 
+    @property
+    def revision(self) -> int:
+        """Newest revision seen."""
+        return self._revision
+
+    @property
+    def suspected(self) -> AbstractSet[str]:
+        """Parts under which a target ended, or that are in quarantine."""
+        return self._suspected
+
     def __len__(self) -> int:
         """Return the number of parts in quarantine."""
         return sum(suspect.quarantined for suspect in self._suspects.values())
@@ -161,62 +113,103 @@
         parts: Iterable[str],
         now: float,
         revision: float = UNWRITTEN,
+        progress: Mapping[str, Progress] | None = None,
     ) -> list[str]:
-        """Add the end of a target; return the parts now put in quarantine."""
+        """
+        Add the end of a target; return the parts now put in quarantine.
+
+        :param progress: by part, how far the answer had got.
+        """
         added = []
         for part in parts:
             suspect = self._suspect(part, now)
-            if revision <= suspect.cleared_revision:
+            end = PartEnd(revision, (progress or {}).get(part, START))
+            if suspect.is_refuted(revision, end.progress):
                 continue
             before = suspect.quarantined
-            suspect.ends[lifetime] = revision
+            suspect.ends[lifetime] = end
             self._refresh(suspect, now, revision)
+            self._suspected.add(part)
             if suspect.quarantined and not before:
                 added.append(part)
         self._see(revision)
         return added
 
     def announce(
-        self, parts: Iterable[str], now: float, revision: int
+        self,
+        parts: Iterable[str],
+        now: float,
+        revision: int,
+        progress: Mapping[str, Progress] | None = None,
     ) -> list[str]:
-        """Put parts in quarantine as announced; return the ones new here."""
+        """
+        Put parts in quarantine as announced; return the ones new here.
+
+        :param progress: by part, how far answers had got when targets ended.
+        """
         added = []
         for part in parts:
             suspect = self._suspect(part, now)
-            if revision <= suspect.cleared_revision:
+            announced = (progress or {}).get(part, START)
+            if suspect.is_refuted(revision, announced):
                 continue
             if not suspect.quarantined:
                 added.append(part)
             suspect.quarantined_revision = (
                 suspect.quarantined_revision or revision
             )
+            suspect.announced = suspect.announced.join(announced)
+            self._suspected.add(part)
             self._refresh(suspect, now, revision)
         self._see(revision)
         return added
 
-    def clear(self, parts: Iterable[str], revision: int) -> list[str]:
-        """Drop the ends before a report that an answer has begun."""
+    def clear(
+        self,
+        parts: Iterable[str],
+        revision: int,
+        harmless: Progress = EVERYTHING,
+    ) -> list[str]:
+        """
+        Drop the ends up to a revision, as another VM reports an answer.
+
+        :param harmless: up to where it shows the parts to be harmless.
+        """
         released = []
         for part in parts:
             suspect = self._suspects.get(part)
             if suspect is None:
                 continue
             before = suspect.quarantined
-            suspect.clear(revision)
+            self._refute(part, suspect, harmless, revision)
+            suspect.note_refuted(harmless, revision)
             if before and not suspect.quarantined:
                 released.append(part)
         self._see(revision)
         return released
 
-    def begin(self, part: str) -> bool:
-        """Drop the ends known here, as an answer has begun on this VM."""
+    def refute(self, part: str, harmless: Progress) -> bool:
+        """
+        Drop the ends known here that an answer on this VM refutes.
+
+        :param harmless: up to where it shows the part to be harmless.
+        :return: whether there were any.
+        """
         suspect = self._suspects.get(part)
-        if suspect is None or not (suspect.ends or suspect.quarantined):
+        if suspect is None:
             return False
-        suspect.ends.clear()
-        suspect.clear(self._revision)
+        before = len(suspect.ends), suspect.quarantined
+        self._refute(part, suspect, harmless, UNWRITTEN)
+        if (len(suspect.ends), suspect.quarantined) == before:
+            return False
+        suspect.note_refuted(harmless, self._revision)
         return True
 
+    def furthest(self, part: str) -> Progress:
+        """Return how far answers on a part had got when targets ended."""
+        suspect = self._suspects.get(part)
+        return suspect.furthest if suspect else START
+
     def next_probe(self, part: str, now: float) -> Probe | None:
         """Return the probe of a quarantined part that may be sent now."""
         suspect = self._suspects.get(part)
@@ -288,14 +281,23 @@
             for part in order[:excess]:
                 kept.pop(part)
         self._suspects = kept
+        self._suspected &= kept.keys()
+
+    def _refute(
+        self, part: str, suspect: Suspect, harmless: Progress, revision: float
+    ) -> None:
+        """Drop the ends of a part that an answer refutes."""
+        suspect.refute(harmless, revision)
+        if not suspect.ends and not suspect.quarantined:
+            self._suspected.discard(part)
 
-    def _suspect(self, part: str, now: float) -> _Suspect:
+    def _suspect(self, part: str, now: float) -> Suspect:
         """Return the record of a part, a new one if it is unknown."""
         if part not in self._suspects:
-            self._suspects[part] = _Suspect(now, now)
+            self._suspects[part] = Suspect(now, now)
         return self._suspects[part]
 
-    def _refresh(self, suspect: _Suspect, now: float, revision: float) -> None:
+    def _refresh(self, suspect: Suspect, now: float, revision: float) -> None:
         """Record the time of news on a part."""
         suspect.news_at = now
         if revision != UNWRITTEN:
--- a/fuchsiafork/quarantine/notices.py
+++ b/fuchsiafork/quarantine/notices.py
@@ -2,23 +2,33 @@
 
 import dataclasses
 import enum
+import math
+from itertools import starmap
 from typing import Annotated
 
 import pydantic
 
+from fuchsiafork.quarantine.progress import UNLIMITED_EVENTS, Progress
+
 # Longest id of a part in a notice, characters.
 MAX_PART_CHARS = 64
 # Largest number of parts in one notice.
 MAX_PARTS = 256
+# In place of a time that has no bound.
+UNBOUNDED_MS = -1
+MS_PER_S = 1000
+# Longest time in a notice, a day.
+MAX_PROGRESS_MS = 86_400_000
 
 
 class NoticeKind(enum.StrEnum):
     """What a notice says of its parts."""
 
-    # A target ended before it had begun to answer on them.
+    # A target ended while it answered on them, or soon afterwards.
     ENDED = 'ended'
-    # A target has begun an answer on them.
-    BEGUN = 'begun'
+    # A target has answered on them, and lives. Earlier versions of the program
+    # know no other name; theirs tell nothing of the progress.
+    ACQUITTED = 'begun'
     # They are still asked for in quarantine, and stay there.
     QUARANTINED = 'quarantined'
     # One request with them is sent to a target.
@@ -33,12 +43,23 @@
     :ivar lifetime: start of the target that ended, or that gets the probe;
         empty for other kinds.
     :ivar probe: number of the probe, 0 for other kinds.
+    :ivar progress: for each part, how far answers had got when targets ended,
+        or up to where they show that it is harmless; empty if the kind or an
+        earlier version of the program tells nothing of it.
+    :ivar until: revision of the newest report that an acquittal refutes.
     """
 
     kind: NoticeKind
     parts: tuple[str, ...]
     lifetime: str = ''
     probe: int = 0
+    progress: tuple[Progress, ...] = ()
+    until: int = 0
+
+    @property
+    def progress_by_part(self) -> dict[str, Progress]:
+        """How far answers had got, by part."""
+        return dict(zip(self.parts, self.progress, strict=False))
 
 
 _Part = Annotated[
@@ -46,6 +67,13 @@
 ]
 
 
+# Events, and milliseconds since the request was sent.
+_Progress = tuple[
+    Annotated[int, pydantic.Field(ge=-UNLIMITED_EVENTS, le=UNLIMITED_EVENTS)],
+    Annotated[int, pydantic.Field(ge=UNBOUNDED_MS, le=MAX_PROGRESS_MS)],
+]
+
+
 class _NoticeModel(pydantic.BaseModel):
     """A notice as it lies in the store; unknown fields are ignored."""
 
@@ -53,11 +81,22 @@
     parts: Annotated[tuple[_Part, ...], pydantic.Field(max_length=MAX_PARTS)]
     lifetime: str = ''
     probe: int = 0
+    progress: Annotated[
+        tuple[_Progress, ...], pydantic.Field(max_length=MAX_PARTS)
+    ] = ()
+    until: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 def encode_notice(notice: Notice) -> bytes:
     """Return the stored form of a notice."""
-    model = _NoticeModel.model_construct(**dataclasses.asdict(notice))
+    model = _NoticeModel.model_construct(
+        kind=notice.kind,
+        parts=notice.parts,
+        lifetime=notice.lifetime,
+        probe=notice.probe,
+        progress=tuple(map(_encode_progress, notice.progress)),
+        until=notice.until,
+    )
     return model.model_dump_json(exclude_defaults=True).encode()
 
 
@@ -68,7 +107,30 @@
     :raises ValueError: if it is invalid.
     """
     model = _NoticeModel.model_validate_json(value)
-    return Notice(model.kind, model.parts, model.lifetime, model.probe)
+    return Notice(
+        model.kind,
+        model.parts,
+        model.lifetime,
+        model.probe,
+        tuple(starmap(_decode_progress, model.progress)),
+        model.until,
+    )
+
+
+def _encode_progress(progress: Progress) -> tuple[int, int]:
+    """Return the stored form of a progress."""
+    if math.isinf(progress.seconds):
+        return progress.events, UNBOUNDED_MS
+    return progress.events, min(
+        MAX_PROGRESS_MS, max(0, int(progress.seconds * MS_PER_S))
+    )
+
+
+def _decode_progress(events: int, milliseconds: int) -> Progress:
+    """Return a stored progress."""
+    if milliseconds == UNBOUNDED_MS:
+        return Progress(events, math.inf)
+    return Progress(events, milliseconds / MS_PER_S)
 
 
 __all__ = (
--- a/fuchsiafork/transport/client_connection.py
+++ b/fuchsiafork/transport/client_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -69,6 +70,7 @@
     :ivar request_ids: ids of the requests that were sent on it.
     :ivar idle_since: time of the end of the last call, seconds.
     :ivar idle_limit_s: time for which the server keeps it open while idle.
+    :ivar on_lost: called when the server ends it while it is idle.
     """
 
     def __init__(self) -> None:
@@ -77,6 +79,7 @@
         self.request_ids: set[str] = set()
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
+        self.on_lost: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._waiter: asyncio.Future[None] | None = None
@@ -116,6 +119,7 @@
 
     def eof_received(self) -> bool:
         """Record the end of the stream; asyncio closes the transport."""
+        self._report_loss()
         self._ended = True
         if self._parser.our_state is not h11.IDLE:
             self._parser.receive_data(b'')
@@ -124,6 +128,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the error that ended the connection."""
+        self._report_loss()
         if not self._ended:
             self._error = exc or ConnectionResetError('closed')
         self._ended = True
@@ -209,6 +214,12 @@
         finally:
             self._waiter = None
 
+    def _report_loss(self) -> None:
+        """Report that the server has ended an idle connection."""
+        on_lost, self.on_lost = self.on_lost, None
+        if on_lost is not None and not self._ended:
+            on_lost()
+
     def _wake(self) -> None:
         """Wake up the task that waits for bytes of the answer."""
         if self._waiter is not None and not self._waiter.done():
--- a/fuchsiafork/transport/pool.py
+++ b/fuchsiafork/transport/pool.py
@@ -1,6 +1,8 @@
 """Pool of connections that are kept open between calls."""
 
+import functools
 import re
+from collections.abc import Callable
 
 from fuchsiafork.kernel import Clock
 from fuchsiafork.transport.client_connection import ClientConnection, connect
@@ -22,10 +24,16 @@
 
 
 class ConnectionPool:
-    """Idle connections by address."""
+    """
+    Idle connections by address.
+
+    :ivar on_lost: called with the address of a server that ends an idle
+        connection.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool."""
+        self.on_lost: Callable[[str], None] | None = None
         self._clock = clock
         self._idle: dict[str, list[ClientConnection]] = {}
 
@@ -47,6 +55,7 @@
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
+            connection.on_lost = None
             age = self._clock.now() - connection.idle_since
             if connection.open and age < self._limit(
                 connection,
@@ -89,6 +98,8 @@
             connection.close()
             return
         connection.idle_since = self._clock.now()
+        if self.on_lost is not None:
+            connection.on_lost = functools.partial(self.on_lost, address)
         idle.append(connection)
 
     def sweep(self) -> None:
