Bound the bodies that a gateway keeps, in all

What callers would have seen: all requests of a VM end when a faulty target sends many large answers at once. One gateway process, limits.memoryMb=300, before four targets that send 3.5 MB and then never end: 731 to 790 MB with 150 calls at once.

Cause: plain answers and errors are kept whole, each up to 4 MiB, so that another target can replace one that breaks off; nothing bounded their sum, nor that of the requests being read. Event streams and heads, which aren't kept, stay below 70 MB, so that it isn't what nobody reads that piles up; but each connection could read 256 KB at a time.

The process has one bound for answers and one for requests, as shares of limits.memoryMb. An answer that doesn't fit is forwarded as it arrives, at the pace of its caller, and isn't repeated; one whose caller doesn't read counts until it has been sent. A request that doesn't fit is refused before it is read (2211, 503, not run). Connections read 64 KB at a time.

--- a/fuchsiafork/gateway/answer_relay.py
+++ b/fuchsiafork/gateway/answer_relay.py
@@ -30,9 +30,10 @@
     BrokenAnswerError,
     ConnectError,
 )
+from fuchsiafork.transport.memory import MemoryBound
 
-# An answer other than an event stream is buffered whole, up to this size.
-MAX_BUFFERED_ANSWER_BYTES = 4_194_304
+# Longest answer other than an event stream.
+MAX_BODY_BYTES = 4_194_304
 # Urgency rank of a prompt, 0 is the most urgent: one rank per this many tokens.
 TOKENS_PER_URGENCY_RANK = 1500
 LAST_URGENCY_RANK = 9
@@ -67,6 +68,8 @@
     :ivar target_at_fault: whether the failure counts against the target.
     :ivar broken: whether the connection ended before the whole answer.
     :ivar begun: whether the target had sent an event in this attempt.
+    :ivar forwarded: whether the caller has a part of a plain answer, which no
+        other target can go on with.
     :ivar withdrawn: whether the target stopped accepting requests before this
         one was sent.
     """
@@ -81,6 +84,7 @@
     target_at_fault: bool = True
     broken: bool = False
     begun: bool = False
+    forwarded: bool = False
     withdrawn: bool = False
 
 
@@ -90,6 +94,7 @@
 
     :ivar may_have_run: whether a target may have run the request.
     :ivar request_part: part that stands for the whole request.
+    :ivar forwarding: whether a plain answer is forwarded as it arrives.
     """
 
     def __init__(
@@ -101,12 +106,14 @@
         account: str,
         event_tokens: int,
         request_part: str,
+        memory: MemoryBound,
         on_head: Callable[[Target, wire.ResponseMetadata], None],
     ) -> None:
         """
         Start before the first attempt.
 
         :param request_part: part that stands for the whole request.
+        :param memory: bound on the answers that the process keeps.
         :param on_head: called with each target that answers, and with the
             metadata of its answer; not for another target at a reused
             address.
@@ -120,6 +127,8 @@
         self._account = account
         self._event_tokens = event_tokens
         self.request_part = request_part
+        self._memory = memory.hold()
+        self.forwarding = False
         self._event_parser = EventStreamParser()
         self._events_before_attempt = 0
         self._silence_policy = SilencePolicy(route)
@@ -183,6 +192,10 @@
             self.may_have_run = previously_may_have_run
         return failure
 
+    def close(self) -> None:
+        """Release what is kept of answers, once the caller has its own."""
+        self._caller.release_when_sent(self._memory)
+
     def forward(self, answer: BufferedAnswer) -> None:
         """Send a buffered answer to the caller unchanged."""
         headers = wire.caller_headers(answer.head.headers)
@@ -219,9 +232,31 @@
             if content_type.startswith(_EVENT_STREAM):
                 await self._relay_events(call, observed, head)
                 return None
-        body = await call.read_body(MAX_BUFFERED_ANSWER_BYTES)
-        answer = BufferedAnswer(head, body)
-        failure = classify_answer(answer)
+        return await self._relay_body(call, observed, head)
+
+    async def _relay_body(
+        self, call: TargetCall, observed: ObservedAnswer, head: AnswerHead
+    ) -> Failure | None:
+        """
+        Forward an answer that is no event stream once it is whole.
+
+        It may come from another target until then. One for which there is no
+        memory left is forwarded as it arrives.
+        """
+        # Growing one buffer for each of many answers leaves holes in the heap.
+        pieces: list[bytes] = []
+        size = 0
+        chunk = await call.read_chunk()
+        while chunk:
+            pieces.append(chunk)
+            size += len(chunk)
+            _require_bounded(size)
+            if not self._memory.grow(len(chunk)):
+                return await self._forward_parts(call, observed, head, pieces)
+            chunk = await call.read_chunk()
+        answer = BufferedAnswer(head, b''.join(pieces))
+        pieces.clear()
+        failure = classify_answer(head, answer)
         if failure is None or not failure.not_run:
             observed.record_whole(
                 success=head.success and not self._caller.started
@@ -232,6 +267,40 @@
             self.forward(answer)
         return failure
 
+    async def _forward_parts(
+        self,
+        call: TargetCall,
+        observed: ObservedAnswer,
+        head: AnswerHead,
+        pieces: list[bytes],
+    ) -> Failure | None:
+        """
+        Forward an answer as it arrives, at the pace of the caller.
+
+        :param pieces: the bytes received so far.
+        """
+        failure = classify_answer(head)
+        if self._caller.started:
+            return _stream_failure(failure, head)
+        if failure is not None:
+            return failure
+        self.forwarding = True
+        self._send_head(head)
+        size = 0
+        pieces.reverse()
+        while pieces:
+            chunk = pieces.pop()
+            size += len(chunk)
+            _require_bounded(size)
+            self._caller.write(chunk)
+            await self._caller.drain()
+            if not pieces:
+                self._memory.release()
+                pieces += filter(None, (await call.read_chunk(),))
+        observed.record_whole(success=head.success)
+        self._caller.finish()
+        return None
+
     async def _read_head(self, call: TargetCall) -> AnswerHead:
         """Return the answer's head."""
         request_id = self._metadata.request_id
@@ -321,6 +390,7 @@
             target_at_fault=not call.stale_connection,
             broken=not error.silent,
             begun=observed.begun,
+            forwarded=self.forwarding,
         )
 
 
@@ -329,9 +399,14 @@
     return min(LAST_URGENCY_RANK, prompt_tokens // TOKENS_PER_URGENCY_RANK)
 
 
-def classify_answer(answer: BufferedAnswer) -> Failure | None:
-    """Return the failure that an answer represents, None to forward it."""
-    head = answer.head
+def classify_answer(
+    head: AnswerHead, answer: BufferedAnswer | None = None
+) -> Failure | None:
+    """
+    Return the failure that an answer represents, None to forward it.
+
+    :param answer: the whole answer, None if it isn't kept.
+    """
     if head.misdirected:
         wrong_target = NoTargetError(
             'the address now belongs to another target'
@@ -362,6 +437,16 @@
     )
 
 
+def _require_bounded(size: int) -> None:
+    """
+    Check the size of an answer.
+
+    :raises BrokenAnswerError: if it is over the bound.
+    """
+    if size > MAX_BODY_BYTES:
+        raise BrokenAnswerError('the answer body exceeds the size limit')
+
+
 def _require_unaltered(head: AnswerHead) -> None:
     """
     Check that a successful answer shows no sign of an alteration.
--- a/fuchsiafork/gateway/composition.py
+++ b/fuchsiafork/gateway/composition.py
@@ -14,6 +14,7 @@
 from fuchsiafork.gateway.holder_election import SLOTS_PREFIX, HolderElection
 from fuchsiafork.gateway.item_confirmation import ItemConfirmation
 from fuchsiafork.gateway.item_replication import ItemReplication
+from fuchsiafork.gateway.memory_bounds import make_memory_bounds
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.notice_writer import QUARANTINE_PREFIX, NoticeWriter
 from fuchsiafork.gateway.peers import Peers
@@ -277,6 +278,9 @@
             dependencies.metrics,
             log,
         ),
+        memory=make_memory_bounds(
+            dependencies.settings.limits.memory_mb, dependencies.metrics
+        ),
     )
 
 
--- a/fuchsiafork/gateway/metrics.py
+++ b/fuchsiafork/gateway/metrics.py
@@ -82,6 +82,19 @@
             ('kind',),
             registry=self.registry,
         )
+        self.kept_bytes = prom.Gauge(
+            'fuchsiafork_gateway_kept_bytes',
+            'Bytes of bodies that count against the memory of the process, by '
+            'whose they are.',
+            ('kind',),
+            registry=self.registry,
+        )
+        self.forwarded_answers = prom.Counter(
+            'fuchsiafork_gateway_forwarded_answers',
+            'Answers that were forwarded as they arrived, as the memory for '
+            'answers was taken up.',
+            registry=self.registry,
+        )
         self.duration = prom.Histogram(
             'fuchsiafork_gateway_request_seconds',
             'Time from a whole request to the end of its answer.',
--- a/fuchsiafork/gateway/program.py
+++ b/fuchsiafork/gateway/program.py
@@ -16,6 +16,7 @@
     BadRequestError,
     FuchsiaforkError,
     HeadersTooLargeError,
+    MemoryExhaustedError,
     RequestTimeoutError,
     RequestTooLargeError,
     SettingsError,
@@ -47,6 +48,9 @@
 # While draining, a connection is closed only after this idle time, since a
 # request may already be in transit.
 MIN_IDLE_BEFORE_CLOSE_S = 0.3
+# Shortest and longest time after which a caller returns whose request was not
+# read for lack of memory.
+RETURN_S = (0.5, 1.5)
 # Time limit of giving up the slot of a holder.
 RESIGNATION_TIMEOUT_S = 0.2
 # Time limit of the last write to the ledger.
@@ -56,6 +60,7 @@
     408: RequestTimeoutError,
     413: RequestTooLargeError,
     431: HeadersTooLargeError,
+    503: MemoryExhaustedError,
 }
 
 
@@ -85,6 +90,7 @@
             guard_requests(self._serve, _answer_error, self._log),
             self._refuse_unreadable,
             self._caller_limits,
+            self._shared.memory.requests,
         )
         self._pages = OperatorPages(self._shared, self._ages, self._in_flight)
         readiness = ReadinessPage(lambda: self.ready)
@@ -261,7 +267,11 @@
         """Refuse a request that could not be read."""
         error_class = _UNREADABLE_ERRORS.get(status, BadRequestError)
         self._log.warning('request_unreadable', status=status, reason=reason)
-        _answer_error(caller, error_class(reason))
+        error = error_class(reason)
+        if isinstance(error, MemoryExhaustedError):
+            error.retry_after = self._shared.rng.uniform(*RETURN_S)
+        self._shared.metrics.refusals.labels(error.code, error.run_state).inc()
+        _answer_error(caller, error)
 
     async def _run_periodic_work(self) -> None:
         """Expire targets, flush logs and reload settings periodically."""
@@ -293,7 +303,7 @@
             self._log.warning('lines_left_out', count=count)
 
     def _reload(self) -> None:
-        """Apply the store address and retry limits of the settings file."""
+        """Apply what may change while the process runs."""
         try:
             settings = load_vm_settings(self._path)
         except SettingsError as error:
@@ -302,6 +312,7 @@
         self._settings = settings
         self._components.store.address = settings.store.address
         self._shared.retries.set_limits(make_retry_limits(settings))
+        self._shared.memory.set_memory(settings.limits.memory_mb)
         self._log.info('settings_reloaded', store=settings.store.address)
 
     def _reload_changed(self) -> None:
--- a/fuchsiafork/gateway/request_attempts.py
+++ b/fuchsiafork/gateway/request_attempts.py
@@ -372,6 +372,8 @@
         if not failure.possibly_sent:
             tried = self._tried
             return not tried.exhausted and not tried.too_many_unreached
+        if failure.forwarded:
+            return False
         if failure.broken and not await self._may_repeat(state):
             return False
         if failure.stale_connection and self._route.retryable:
--- a/fuchsiafork/gateway/request_handler.py
+++ b/fuchsiafork/gateway/request_handler.py
@@ -61,6 +61,21 @@
 
     async def run(self) -> None:
         """Answer the request or refuse it."""
+        try:
+            await self._run()
+        finally:
+            self._release_answer()
+
+    def _release_answer(self) -> None:
+        """Release the memory of the answer; count one that didn't fit."""
+        if self._answer_relay is None:
+            return
+        self._answer_relay.close()
+        if self._answer_relay.forwarding:
+            self._shared.metrics.forwarded_answers.inc()
+
+    async def _run(self) -> None:
+        """Answer the request or refuse it; see run()."""
         error: FuchsiaforkError | None = None
         try:
             await self._serve()
@@ -107,6 +122,7 @@
             account=self._record.account,
             event_tokens=service.event_tokens if service else 0,
             request_part=part,
+            memory=self._shared.memory.answers,
             on_head=self._shared.announcements.record,
         )
         priority = route.priority
--- a/fuchsiafork/gateway/shared_state.py
+++ b/fuchsiafork/gateway/shared_state.py
@@ -8,6 +8,7 @@
 from fuchsiafork.gateway.configuration import Configuration
 from fuchsiafork.gateway.fleet_retries import FleetRetries
 from fuchsiafork.gateway.item_confirmation import ItemConfirmation
+from fuchsiafork.gateway.memory_bounds import MemoryBounds
 from fuchsiafork.gateway.metrics import GatewayMetrics
 from fuchsiafork.gateway.peers import Peers
 from fuchsiafork.gateway.prepaid_tokens import PrepaidTokens
@@ -28,6 +29,7 @@
     """
     State of a process that its requests read and modify.
 
+    :ivar memory: bounds on the bodies that are kept.
     :ivar configuration: configuration in force, None before the first one.
     :ivar configuration_confirmed_at: time at which no newer configuration was
         known to exist, seconds.
@@ -52,6 +54,7 @@
     target_limits: TargetLimits
     target_gate: TargetGate
     announcements: TargetAnnouncements
+    memory: MemoryBounds
     configuration: Configuration | None = None
     configuration_confirmed_at: float = 0.0
     targets_confirmed_at: float = 0.0
--- a/fuchsiafork/gateway/target_call.py
+++ b/fuchsiafork/gateway/target_call.py
@@ -187,23 +187,6 @@
         event = await self._require_connection().next_event()
         return event.data if isinstance(event, h11.Data) else b''
 
-    async def read_body(self, limit: int) -> bytes:
-        """
-        Return the whole body.
-
-        :raises BrokenAnswerError: if it is incomplete or exceeds the limit.
-        """
-        body = bytearray()
-        chunk = await self.read_chunk()
-        while chunk:
-            body += chunk
-            if len(body) > limit:
-                raise BrokenAnswerError(
-                    'the answer body exceeds the size limit'
-                )
-            chunk = await self.read_chunk()
-        return bytes(body)
-
     def release(self) -> None:
         """Return the connection to the pool, which closes unusable ones."""
         if self._connection is not None:
--- a/fuchsiafork/kernel/errors.py
+++ b/fuchsiafork/kernel/errors.py
@@ -308,6 +308,14 @@
     retry_safe = True
 
 
+class MemoryExhaustedError(FuchsiaforkError):
+    """Requests that are being served take up the memory for bodies."""
+
+    code = 2211
+    status = 503
+    retry_safe = True
+
+
 class TargetFailedError(FuchsiaforkError):
     """The target failed after it received the request."""
 
--- a/fuchsiafork/platform/settings.py
+++ b/fuchsiafork/platform/settings.py
@@ -57,9 +57,11 @@
     Resources of the VM.
 
     :ivar link_mbps: bandwidth of its network link, None if unknown.
+    :ivar memory_mb: resident memory above which the process is ended.
     """
 
     link_mbps: float | None = pydantic.Field(None, alias='linkMbps')
+    memory_mb: float = pydantic.Field(256.0, alias='memoryMb', ge=64)
 
 
 class VmSettings(_Section):
--- a/fuchsiafork/transport/caller.py
+++ b/fuchsiafork/transport/caller.py
@@ -11,6 +11,7 @@
 
 from fuchsiafork.transport.client_connection import set_tcp_options
 from fuchsiafork.transport.header_encoding import encode_headers
+from fuchsiafork.transport.memory import HeldMemory, MemoryBound
 
 # Bytes of pipelined requests that are read while a request is being served.
 MAX_PIPELINED_BYTES = 65_536
@@ -74,6 +75,7 @@
     :ivar serve: answers a request.
     :ivar refuse: answers a request that could not be read.
     :ivar limits: returns the limits in force.
+    :ivar bodies: bound on the bodies of all requests, None for no bound.
     :ivar stopping: whether each answer closes its connection.
     :ivar connections: the open connections.
     """
@@ -81,6 +83,7 @@
     serve: Serve
     refuse: Refuse
     limits: Callable[[], CallerLimits]
+    bodies: MemoryBound | None = None
     stopping: bool = False
     connections: set['CallerConnection'] = dataclasses.field(
         default_factory=set,
@@ -111,6 +114,9 @@
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
+        self._body_memory = server.bodies.hold() if server.bodies else None
+        # Memory that is free once the written bytes have been sent.
+        self._unsent: list[HeldMemory] = []
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
@@ -155,9 +161,11 @@
         self._closing = True
         self._server.connections.discard(self)
         self._stop_timer()
-        self._writable.set()
+        self._release_unsent()
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._release_body()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
@@ -169,7 +177,7 @@
 
     def resume_writing(self) -> None:
         """Let ``drain`` return once the write buffer has room."""
-        self._writable.set()
+        self._release_unsent()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of a request; limit those that arrive during another."""
@@ -200,6 +208,13 @@
         else:
             self._transport.close()
 
+    def release_when_sent(self, memory: HeldMemory) -> None:
+        """Release memory once the bytes written so far have been sent."""
+        if self._writable.is_set():
+            memory.release()
+        else:
+            self._unsent.append(memory)
+
     def begin(self, status: int, headers: Headers) -> None:
         """Send the status line and headers of an answer."""
         self._status = status
@@ -242,6 +257,21 @@
         if data:
             self._transport.write(data)
 
+    def _release_unsent(self) -> None:
+        """Let ``drain`` return, and release what was written."""
+        self._writable.set()
+        while self._unsent:
+            self._unsent.pop().release()
+
+    def _hold_body(self, size: int) -> bool:
+        """Return whether a part of a body may be kept."""
+        return self._body_memory is None or self._body_memory.grow(size)
+
+    def _release_body(self) -> None:
+        """Release the memory of the body of the last request."""
+        if self._body_memory is not None:
+            self._body_memory.release()
+
     def _begin_reading(self) -> None:
         """Start the timeout for the head of a request."""
         if not self._reading:
@@ -276,6 +306,8 @@
             self._reject(431, 'the headers are over the bound')
         elif _content_length(event) > limits.body_bytes:
             self._reject(413, 'the body is over the bound')
+        elif not self._hold_body(_content_length(event)):
+            self._reject(503, 'too many large bodies at once')
         elif self._parser.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
 
@@ -284,6 +316,8 @@
         self._body += event.data
         if len(self._body) > self._server.limits().body_bytes:
             self._reject(413, 'the body is over the bound')
+        elif not self._has_length and not self._hold_body(len(event.data)):
+            self._reject(503, 'too many large bodies at once')
 
     @_handle_event.register
     def _(self, event: h11.EndOfMessage) -> None:
@@ -309,6 +343,7 @@
     def _end_request(self, task: asyncio.Task[None]) -> None:
         """Prepare the connection for the next request, or close it."""
         self._task = None
+        self._release_body()
         if not task.cancelled() and task.exception() is not None:
             self.abort()
         if self._closing:
@@ -328,6 +363,11 @@
             self._begin_reading()
             self._read()
 
+    @property
+    def _has_length(self) -> bool:
+        """Whether the request that is being read tells its length."""
+        return self._head is not None and bool(_content_length(self._head))
+
     def _time_out(self) -> None:
         """Refuse a request that is not received in time."""
         self._reject(408, 'the request did not come in time')
@@ -335,6 +375,8 @@
     def _reject(self, status: int, reason: str) -> None:
         """Refuse a request that cannot be read, and read no more of it."""
         self._closing = True
+        self._body.clear()
+        self._release_body()
         self._stop_timer()
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             self._server.refuse(status, reason, self)
--- a/fuchsiafork/transport/client_connection.py
+++ b/fuchsiafork/transport/client_connection.py
@@ -14,10 +14,16 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 # Reading pauses while more bytes of an answer than this are not yet consumed.
-MAX_UNREAD_BYTES = 131_072
+MAX_UNREAD_BYTES = 65_536
+# Bytes that are read from a socket at a time.
+READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 
 
+# The event loop reads and hands over the bytes in one step.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
+
 class ConnectError(Exception):
     """
     The connection failed before any byte of the request was sent.
@@ -62,7 +68,7 @@
         sock.setsockopt(level, name, value)
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """
     Client side of one connection, which makes one call at a time.
 
@@ -108,6 +114,14 @@
         self._transport = transport
         set_tcp_options(transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that all connections read into, one by one."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes; bytes on an idle connection make it unusable."""
         self._unread_bytes += len(data)
--- /dev/null
+++ b/standins/gateway_process.py
@@ -0,0 +1,103 @@
+"""Runs a gateway as a process of its own, with a limit on its memory."""
+
+import asyncio
+import os
+import re
+import subprocess  # ruff: ignore[suspicious-subprocess-import]
+import sys
+from pathlib import Path
+
+from fuchsiafork.platform.settings import PATH_VARIABLE
+from standins.platform_site import PlatformSite
+
+_ROOT = Path(__file__).parent.parent
+_READY_S = 20.0
+_POLL_S = 0.1
+_STOP_S = 20.0
+_PEAK = re.compile(r'VmHWM:\s+(\d+) kB')
+_KB_PER_MB = 1024
+
+
+class GatewayProcess:
+    """
+    A gateway process of a site.
+
+    :ivar port: its port for callers.
+    """
+
+    def __init__(self, site: PlatformSite, vm: str, memory_mb: int) -> None:
+        """
+        Start the process.
+
+        :param memory_mb: memory that its settings allow.
+        """
+        path, self.port = site.write_settings(
+            vm, 'a', more=(f'limits.memoryMb={memory_mb}',)
+        )
+        self._log_path = path.with_suffix('.log')
+        with self._log_path.open('wb') as log:
+            self._process = subprocess.Popen(
+                (sys.executable, '-m', 'fuchsiafork.gateway'),
+                cwd=_ROOT,
+                env={**os.environ, PATH_VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+            )
+        # The line ends with the address of the readiness page.
+        lines = path.read_text(encoding='utf-8').splitlines()
+        ready = next(line for line in lines if line.startswith('listen.ready'))
+        self._ready_port = int(ready.rpartition(':')[2])
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
+    @property
+    def peak_mb(self) -> float:
+        """Highest resident memory so far, in megabytes."""
+        status = Path(f'/proc/{self._process.pid}/status').read_text(
+            encoding='utf-8'
+        )
+        match = _PEAK.search(status)
+        if match is None:
+            raise RuntimeError('the process has ended')
+        return int(match.group(1)) / _KB_PER_MB
+
+    async def wait_ready(self) -> None:
+        """
+        Wait until it says that it is ready.
+
+        :raises TimeoutError: if it doesn't in time.
+        """
+        async with asyncio.timeout(_READY_S):
+            while not await self._is_ready():
+                await asyncio.sleep(_POLL_S)
+
+    def stop(self) -> None:
+        """End the process."""
+        self._process.kill()
+        self._process.wait(_STOP_S)
+
+    def log(self) -> str:
+        """Return what it has logged."""
+        return self._log_path.read_text(encoding='utf-8')
+
+    async def _is_ready(self) -> bool:
+        """Return whether its readiness page answers 200."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', self._ready_port
+            )
+        except OSError:
+            return False
+        writer.write(b'GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n')
+        try:
+            return b' 200 ' in await reader.readline()
+        except OSError:
+            return False
+        finally:
+            writer.close()
+
+
+__all__ = ('GatewayProcess',)
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -101,6 +101,27 @@
 
         :param store_address: its path to the store, by default a direct one.
         """
+        path, port = self.write_settings(vm, domain, store_address)
+        gateway = GatewayProgram(path)
+        await gateway.start()
+        await wait_until(lambda: gateway.ready)
+        self.gateways[vm] = gateway
+        self.ports[vm] = port
+        return gateway
+
+    def write_settings(
+        self,
+        vm: str,
+        domain: str,
+        store_address: str = '',
+        more: tuple[str, ...] = (),
+    ) -> tuple[Path, int]:
+        """
+        Write the settings file of a gateway.
+
+        :param more: further lines.
+        :return: its path, and the port for callers.
+        """
         port, peer_port = free_port(), free_port()
         path = Path(self._settings_dir.name) / f'{vm}.conf'
         lines = (
@@ -114,14 +135,10 @@
             f'platform.address={store_address or self.store.address}',
             'bounds.graceS=8',
             'bounds.budgetExtra=56',
+            *more,
         )
         path.write_text('\n'.join(lines), encoding='utf-8')
-        gateway = GatewayProgram(path)
-        await gateway.start()
-        await wait_until(lambda: gateway.ready)
-        self.gateways[vm] = gateway
-        self.ports[vm] = port
-        return gateway
+        return path, port
 
     async def stop(self) -> None:
         """Stop all components without draining."""
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -43,6 +43,7 @@
         empty for none.
     :ivar leaving: announce in each answer that the target is leaving.
     :ivar head_start: bytes to send ahead of each answer.
+    :ivar body_bytes: size of a plain answer, 0 for a short text.
     :ivar drip: bytes to send without end in place of the end of a stream.
     """
 
@@ -63,6 +64,7 @@
     retry_after: str = ''
     leaving: bool = False
     head_start: bytes = b''
+    body_bytes: int = 0
     drip: bytes = b''
 
 
@@ -294,7 +296,7 @@
     request_id: str,
 ) -> None:
     """Send an answer with a content length."""
-    body = f'answer to {request_id}'.encode()
+    body = f'answer to {request_id}'.encode().ljust(behaviour.body_bytes, b'.')
     if behaviour.truncate_after < 0:
         caller.answer(behaviour.status, headers, body)
         return
