Send requests with two parts in quarantine as no probe of one of them

A target that ends under a request with two such parts doesn't tell under which. Requests with one part in quarantine go first; one with two waits for 10 s, and an end under it is final for neither part, while no second one is sent. A probe's notice names the other parts, so that all VMs know.

--- a/fuchsiafork/gateway/notice_writer.py
+++ b/fuchsiafork/gateway/notice_writer.py
@@ -76,7 +76,10 @@
         name = f'{stable_hash(probe.part):016x}'
         key = f'{QUARANTINE_PREFIX}probe/{name}/{probe.series}/{probe.number}'
         notice = Notice(
-            NoticeKind.PROBED, (probe.part,), lifetime, probe.number
+            NoticeKind.PROBED,
+            (probe.part, *probe.others),
+            lifetime,
+            probe.number,
         )
         return bool(await self._write(key, notice))
 
--- a/fuchsiafork/gateway/request_quarantine.py
+++ b/fuchsiafork/gateway/request_quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import json
 import random
 from collections.abc import Mapping
@@ -304,10 +305,11 @@
         now = self._clock.now()
         quarantined = self._evidence.quarantined(ids)
         # The last part is shared by the fewest requests.
-        probe = self._evidence.next_probe(quarantined[-1], now)
+        *others, part = quarantined
+        probe = self._evidence.next_probe(part, now, joint=bool(others))
         if probe is None:
             raise self._refusal(quarantined, 'no probe is due')
-        return probe
+        return dataclasses.replace(probe, others=tuple(others))
 
     def _refusal(self, quarantined: list[str], reason: str) -> QuarantinedError:
         """Return the error for a request, and keep its quarantine known."""
@@ -338,10 +340,18 @@
         finally:
             self._acquiring.discard(probe)
         self._evidence.record_probe(
-            probe.part, probe.number, lifetime if granted else '', now
+            probe.part,
+            probe.number,
+            lifetime if granted else '',
+            now,
+            joint=granted and bool(probe.others),
         )
         self._log.info(
-            'probe', part=probe.part, number=probe.number, granted=granted
+            'probe',
+            part=probe.part,
+            number=probe.number,
+            granted=granted,
+            others=','.join(probe.others),
         )
         return granted
 
@@ -480,14 +490,22 @@
             )
             self._log_quarantined(added)
         elif notice.kind is NoticeKind.PROBED:
-            for part in notice.parts:
-                if not self._is_unspent(part, notice.probe):
-                    self._evidence.record_probe(
-                        part, notice.probe, notice.lifetime, now
-                    )
+            self._apply_probe(notice)
         else:
             self._apply_acquittals(notice)
 
+    def _apply_probe(self, notice: Notice) -> None:
+        """Apply a probe that another VM sends."""
+        for part in notice.parts[:1]:
+            if not self._is_unspent(part, notice.probe):
+                self._evidence.record_probe(
+                    part,
+                    notice.probe,
+                    notice.lifetime,
+                    self._clock.now(),
+                    joint=len(notice.parts) > 1,
+                )
+
     def _apply_acquittals(self, notice: Notice) -> None:
         """Apply what another VM concludes from an answer."""
         for part, harmless in notice.progress_by_part.items():
--- a/fuchsiafork/quarantine/evidence.py
+++ b/fuchsiafork/quarantine/evidence.py
@@ -30,11 +30,13 @@
 
     :ivar series: revision that all VMs know as the start of its quarantine.
     :ivar number: number of the probe, from 1.
+    :ivar others: other parts in quarantine that the request holds.
     """
 
     part: str
     series: int
     number: int
+    others: tuple[str, ...] = dataclasses.field(default=(), compare=False)
 
 
 class PartEvidence:
@@ -130,6 +132,7 @@
             suspect.ends[lifetime] = end
             self._refresh(suspect, now, revision)
             self._suspected.add(part)
+            suspect.note_quarantine(now)
             if suspect.quarantined and not before:
                 added.append(part)
         self._see(revision)
@@ -159,6 +162,7 @@
                 suspect.quarantined_revision or revision
             )
             suspect.announced = suspect.announced.join(announced)
+            suspect.note_quarantine(now)
             self._suspected.add(part)
             self._refresh(suspect, now, revision)
         self._see(revision)
@@ -210,32 +214,49 @@
         suspect = self._suspects.get(part)
         return suspect.furthest if suspect else START
 
-    def next_probe(self, part: str, now: float) -> Probe | None:
-        """Return the probe of a quarantined part that may be sent now."""
+    def next_probe(
+        self, part: str, now: float, *, joint: bool = False
+    ) -> Probe | None:
+        """
+        Return the probe of a quarantined part that may be sent now.
+
+        :param joint: whether the request holds another part in quarantine.
+        """
         suspect = self._suspects.get(part)
         if suspect is None or not suspect.series:
             return None
         if suspect.exhausted or now < suspect.next_probe_at:
             return None
+        if joint and not suspect.may_be_probed_jointly(now):
+            return None
         return Probe(part, suspect.series, suspect.probes + 1)
 
     def record_probe(
-        self, part: str, number: int, lifetime: str, now: float
+        self,
+        part: str,
+        number: int,
+        lifetime: str,
+        now: float,
+        *,
+        joint: bool = False,
     ) -> None:
         """
         Record a probe that this VM or another one sends to a target.
 
         :param lifetime: start of the target, empty if it isn't known yet.
+        :param joint: whether the request holds another part in quarantine.
         """
         suspect = self._suspects.get(part)
         if suspect is None or number < suspect.probes:
             return
         if number == suspect.probes:
             suspect.probed_lifetime = suspect.probed_lifetime or lifetime
+            suspect.probed_jointly = suspect.probed_jointly or joint
             return
         suspect.probes = number
         suspect.next_probe_at = now + PROBE_INTERVAL_S * 2 ** (number - 1)
         suspect.probed_lifetime = lifetime
+        suspect.probed_jointly = joint
 
     def return_probe(self, probe: Probe, now: float) -> bool:
         """
--- a/fuchsiafork/quarantine/notices.py
+++ b/fuchsiafork/quarantine/notices.py
@@ -42,7 +42,8 @@
 
     :ivar lifetime: start of the target that ended, or that gets the probe;
         empty for other kinds.
-    :ivar probe: number of the probe, 0 for other kinds.
+    :ivar probe: number of the probe of the first part, 0 for other kinds; the
+        further parts are in quarantine as well.
     :ivar progress: for each part, how far answers had got when targets ended,
         or up to where they show that it is harmless; empty if the kind or an
         earlier version of the program tells nothing of it.
--- a/fuchsiafork/quarantine/suspect.py
+++ b/fuchsiafork/quarantine/suspect.py
@@ -10,6 +10,9 @@
 # Requests that may be sent to show that a part in quarantine is harmless.
 # No further one is sent once a target has ended under one of them.
 MAX_PROBES = 6
+# Time in quarantine after which a request with another part in quarantine may
+# be the probe.
+JOINT_PROBE_AFTER_S = 10.0
 # Revision of what this VM has seen, until it is in the store.
 UNWRITTEN = math.inf
 # Covers no end, not even one before the first event.
@@ -43,6 +46,8 @@
     :ivar announced_at: time of the last report from the store, seconds.
     :ivar next_probe_at: time at which the next probe may be sent, seconds.
     :ivar probed_lifetime: start of the target that got the last probe.
+    :ivar probed_jointly: whether that request held another part in quarantine.
+    :ivar quarantined_at: time at which the quarantine began, seconds.
     """
 
     news_at: float
@@ -55,6 +60,8 @@
     probes: int = 0
     next_probe_at: float = -math.inf
     probed_lifetime: str = ''
+    probed_jointly: bool = False
+    quarantined_at: float = math.inf
 
     @property
     def quarantined(self) -> bool:
@@ -66,9 +73,29 @@
     @property
     def exhausted(self) -> bool:
         """Whether no further probe is sent."""
-        ended_target = self.probed_lifetime in self.ends
+        ended_target = self.probe_ended and not self.probed_jointly
         return ended_target or self.probes >= MAX_PROBES
 
+    @property
+    def probe_ended(self) -> bool:
+        """Whether the target of the last probe has ended."""
+        return self.probed_lifetime in self.ends
+
+    def may_be_probed_jointly(self, now: float) -> bool:
+        """
+        Return whether a request with another part in quarantine may be a probe.
+
+        If its target ends, nobody knows under which part, so that requests
+        with this part alone go first, and none follows that ended a target.
+        """
+        waited = now >= self.quarantined_at + JOINT_PROBE_AFTER_S
+        return waited and not self.probe_ended
+
+    def note_quarantine(self, now: float) -> None:
+        """Keep the time of the first evidence that suffices."""
+        if self.quarantined:
+            self.quarantined_at = min(self.quarantined_at, now)
+
     @property
     def series(self) -> int:
         """First revision of the evidence, 0 if none of it is stored."""
@@ -116,6 +143,7 @@
             self.probes = 0
             self.next_probe_at = -math.inf
             self.probed_lifetime = ''
+            self.quarantined_at = math.inf
 
     def note_refuted(self, harmless: Progress, revision: int) -> None:
         """Ignore reports up to a revision that an answer refutes."""
@@ -125,6 +153,7 @@
 
 
 __all__ = (
+    'JOINT_PROBE_AFTER_S',
     'MAX_PROBES',
     'NOTHING',
     'QUARANTINE_ENDS',
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -22,6 +22,7 @@
     RENEWAL_S,
 )
 from fuchsiafork.quarantine.suppression import MAX_DELAY_S
+from fuchsiafork.quarantine.suspect import JOINT_PROBE_AFTER_S
 
 PART = 'part'
 
@@ -183,6 +184,22 @@
         )
         self.assertEqual(sent, MAX_PROBES)
 
+    def test_request_with_two_parts_in_quarantine_waits(self) -> None:
+        """Guards against a bad part that ends the probe of a sound one."""
+        self.assertIsNone(self.evidence.next_probe(PART, 0, joint=True))
+        probe = self.evidence.next_probe(PART, JOINT_PROBE_AFTER_S, joint=True)
+        self.assertIsNotNone(probe)
+
+    def test_end_under_a_joint_probe_is_not_final(self) -> None:
+        """Guards against a sound part that stays beside a bad one."""
+        now = JOINT_PROBE_AFTER_S
+        self.evidence.record_probe(PART, 1, 't-1', now, joint=True)
+        now += PROBE_INTERVAL_S
+        self.assertIsNone(self.evidence.next_probe(PART, now, joint=True))
+        self.assertFalse(self.evidence.is_final(PART))
+        self.assertEqual(self.probe(now, 't-2'), 2)
+        self.assertTrue(self.evidence.is_final(PART))
+
     def test_series_is_the_same_on_all_vms(self) -> None:
         """Guards against one probe of each VM."""
         other = PartEvidence()
