--- a/fuchsiafork/quarantine/__init__.py
+++ b/fuchsiafork/quarantine/__init__.py
@@ -29,6 +29,7 @@
     NoticeKind,
     decode_notice,
     encode_notice,
+    make_notice,
 )
 from fuchsiafork.quarantine.progress import (
     EVERYTHING,
@@ -55,6 +56,7 @@
     'SettlingAnswers',
     'decode_notice',
     'encode_notice',
+    'make_notice',
     'proven_by_event',
     'proven_by_whole_answer',
     'request_part',
--- a/fuchsiafork/quarantine/answered.py
+++ b/fuchsiafork/quarantine/answered.py
@@ -9,14 +9,36 @@
 REMEMBER_S = 60.0
 # Parts remembered at most; the ones answered longest ago go first.
 MAX_ANSWERED = 4096
+# An answer refutes all ends that are heard of in this time: many targets may
+# end at once.
+REFUTE_S = 2.5
+# It refutes this many of the ones heard of until later, so that a part which
+# has become fatal since is suspected.
+REFUTE_FEW_S = 10.0
+FEW_ENDS = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Proof:
-    """The last answer on a part."""
+    """
+    The last answer on a part.
+
+    :ivar refuted: targets whose late ends it refutes.
+    """
 
     at: float
     harmless: Progress
+    refuted: set[str] = dataclasses.field(default_factory=set)
+
+    def refutes(self, lifetime: str, now: float) -> bool:
+        """Return whether the end of a target counts for nothing."""
+        age_s = now - self.at
+        if age_s < REFUTE_S or lifetime in self.refuted:
+            return True
+        if age_s >= REFUTE_FEW_S or len(self.refuted) >= FEW_ENDS:
+            return False
+        self.refuted.add(lifetime)
+        return True
 
 
 class AnsweredParts:
@@ -46,22 +68,36 @@
         if len(self._proofs) > MAX_ANSWERED:
             self._proofs.popitem(last=False)
 
-    def has(self, part: str, now: float, within_s: float = REMEMBER_S) -> bool:
+    def has(self, part: str, now: float) -> bool:
         """Return whether a part was answered lately."""
-        return self.proof(part, now, within_s) is not None
+        return self.proof(part, now) is not None
+
+    def proof(self, part: str, now: float) -> Progress | None:
+        """Return up to where a part is known to be harmless, if it is."""
+        proof = self._proofs.get(part)
+        if proof is None or now >= proof.at + REMEMBER_S:
+            return None
+        return proof.harmless
 
-    def proof(
-        self, part: str, now: float, within_s: float = REMEMBER_S
+    def proof_against(
+        self, part: str, lifetime: str, now: float
     ) -> Progress | None:
         """
-        Return up to where a part is known to be harmless, None if it isn't.
+        Return the same if the answer bears on the end of a target.
 
-        :param within_s: age of the answer from which on it counts no more.
+        :param lifetime: start of the target, whose end is heard of now.
         """
         proof = self._proofs.get(part)
-        if proof is None or now >= proof.at + within_s:
+        if proof is None or not proof.refutes(lifetime, now):
             return None
         return proof.harmless
 
 
-__all__ = ('MAX_ANSWERED', 'REMEMBER_S', 'AnsweredParts')
+__all__ = (
+    'FEW_ENDS',
+    'MAX_ANSWERED',
+    'REFUTE_FEW_S',
+    'REFUTE_S',
+    'REMEMBER_S',
+    'AnsweredParts',
+)
--- a/fuchsiafork/quarantine/evidence.py
+++ b/fuchsiafork/quarantine/evidence.py
@@ -1,6 +1,7 @@
 """Targets that ended under each part of requests, as one VM knows them."""
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 from collections.abc import Set as AbstractSet
 
@@ -258,7 +259,7 @@
         suspect.probed_lifetime = lifetime
         suspect.probed_jointly = joint
 
-    def return_probe(self, probe: Probe, now: float) -> bool:
+    def return_probe(self, probe: Probe) -> bool:
         """
         Let this VM send a probe again, since it reached no target.
 
@@ -271,7 +272,7 @@
         ):
             return False
         suspect.probes = probe.number - 1
-        suspect.next_probe_at = now
+        suspect.next_probe_at = -math.inf
         suspect.probed_lifetime = ''
         return True
 
--- a/fuchsiafork/quarantine/notices.py
+++ b/fuchsiafork/quarantine/notices.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import math
+from collections.abc import Mapping
 from itertools import starmap
 from typing import Annotated
 
@@ -88,6 +89,17 @@
     until: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
+def make_notice(
+    kind: NoticeKind,
+    parts: tuple[str, ...],
+    progress: Mapping[str, Progress],
+    lifetime: str = '',
+) -> Notice:
+    """Return a notice that tells how far answers on its parts had got."""
+    reached = tuple(progress[part] for part in parts)
+    return Notice(kind, parts, lifetime, progress=reached)
+
+
 def encode_notice(notice: Notice) -> bytes:
     """Return the stored form of a notice."""
     model = _NoticeModel.model_construct(
@@ -141,4 +153,5 @@
     'NoticeKind',
     'decode_notice',
     'encode_notice',
+    'make_notice',
 )
--- a/fuchsiafork/quarantine/settling.py
+++ b/fuchsiafork/quarantine/settling.py
@@ -6,7 +6,7 @@
 from fuchsiafork.quarantine.progress import Progress
 
 # A target that ends this soon after an answer may have ended under it.
-SETTLE_S = 1.0
+SETTLE_S = 0.6
 # Answers kept at most; the oldest ones count for nothing above that.
 MAX_SETTLING = 4096
 
--- a/fuchsiafork/quarantine/suspect.py
+++ b/fuchsiafork/quarantine/suspect.py
@@ -10,9 +10,10 @@
 # Requests that may be sent to show that a part in quarantine is harmless.
 # No further one is sent once a target has ended under one of them.
 MAX_PROBES = 6
-# Time in quarantine after which a request with another part in quarantine may
-# be the probe.
-JOINT_PROBE_AFTER_S = 10.0
+# Time for which a probe is left to requests without another part in quarantine.
+JOINT_PROBE_DELAY_S = 2.5
+# Probes after which only such requests are sent.
+MAX_JOINT_PROBES = 3
 # Revision of what this VM has seen, until it is in the store.
 UNWRITTEN = math.inf
 # Covers no end, not even one before the first event.
@@ -73,23 +74,20 @@
     @property
     def exhausted(self) -> bool:
         """Whether no further probe is sent."""
-        ended_target = self.probe_ended and not self.probed_jointly
-        return ended_target or self.probes >= MAX_PROBES
-
-    @property
-    def probe_ended(self) -> bool:
-        """Whether the target of the last probe has ended."""
-        return self.probed_lifetime in self.ends
+        ended_target = self.probed_lifetime in self.ends
+        decided = ended_target and not self.probed_jointly
+        return decided or self.probes >= MAX_PROBES
 
     def may_be_probed_jointly(self, now: float) -> bool:
         """
         Return whether a request with another part in quarantine may be a probe.
 
         If its target ends, nobody knows under which part, so that requests
-        with this part alone go first, and none follows that ended a target.
+        with this part alone go first, and fewer follow than of these.
         """
-        waited = now >= self.quarantined_at + JOINT_PROBE_AFTER_S
-        return waited and not self.probe_ended
+        due_at = max(self.quarantined_at, self.next_probe_at)
+        waited = now >= due_at + JOINT_PROBE_DELAY_S
+        return waited and self.probes < MAX_JOINT_PROBES
 
     def note_quarantine(self, now: float) -> None:
         """Keep the time of the first evidence that suffices."""
@@ -153,7 +151,8 @@
 
 
 __all__ = (
-    'JOINT_PROBE_AFTER_S',
+    'JOINT_PROBE_DELAY_S',
+    'MAX_JOINT_PROBES',
     'MAX_PROBES',
     'NOTHING',
     'QUARANTINE_ENDS',
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -22,7 +22,7 @@
     RENEWAL_S,
 )
 from fuchsiafork.quarantine.suppression import MAX_DELAY_S
-from fuchsiafork.quarantine.suspect import JOINT_PROBE_AFTER_S
+from fuchsiafork.quarantine.suspect import JOINT_PROBE_DELAY_S, MAX_JOINT_PROBES
 
 PART = 'part'
 
@@ -160,7 +160,7 @@
         probe = self.evidence.next_probe(PART, 0)
         self.evidence.record_probe(PART, probe.number, 'live', 0)
         self.assertIsNone(self.evidence.next_probe(PART, 1))
-        self.assertTrue(self.evidence.return_probe(probe, 1))
+        self.assertTrue(self.evidence.return_probe(probe))
         self.assertEqual(self.evidence.next_probe(PART, 1), probe)
 
     def test_probe_is_returned_only_while_it_is_the_last_one(self) -> None:
@@ -168,7 +168,7 @@
         probe = self.evidence.next_probe(PART, 0)
         self.evidence.record_probe(PART, probe.number, 'live', 0)
         self.assertEqual(self.probe(PROBE_INTERVAL_S), 2)
-        self.assertFalse(self.evidence.return_probe(probe, PROBE_INTERVAL_S))
+        self.assertFalse(self.evidence.return_probe(probe))
         self.assertEqual(self.probe(PROBE_INTERVAL_S), 0)
 
     def test_another_target_that_ended_meanwhile_allows_a_probe(self) -> None:
@@ -187,12 +187,12 @@
     def test_request_with_two_parts_in_quarantine_waits(self) -> None:
         """Guards against a bad part that ends the probe of a sound one."""
         self.assertIsNone(self.evidence.next_probe(PART, 0, joint=True))
-        probe = self.evidence.next_probe(PART, JOINT_PROBE_AFTER_S, joint=True)
+        probe = self.evidence.next_probe(PART, JOINT_PROBE_DELAY_S, joint=True)
         self.assertIsNotNone(probe)
 
     def test_end_under_a_joint_probe_is_not_final(self) -> None:
         """Guards against a sound part that stays beside a bad one."""
-        now = JOINT_PROBE_AFTER_S
+        now = JOINT_PROBE_DELAY_S
         self.evidence.record_probe(PART, 1, 't-1', now, joint=True)
         now += PROBE_INTERVAL_S
         self.assertIsNone(self.evidence.next_probe(PART, now, joint=True))
@@ -200,6 +200,19 @@
         self.assertEqual(self.probe(now, 't-2'), 2)
         self.assertTrue(self.evidence.is_final(PART))
 
+    def test_joint_probes_are_fewer(self) -> None:
+        """Guards against targets that end as nobody sends the part alone."""
+        sent = 0
+        for now in range(5000):
+            probe = self.evidence.next_probe(PART, now, joint=True)
+            if probe is not None:
+                sent += 1
+                self.evidence.record_probe(
+                    PART, probe.number, f't-{sent}', now, joint=True
+                )
+        self.assertEqual(sent, MAX_JOINT_PROBES)
+        self.assertFalse(self.evidence.is_final(PART))
+
     def test_series_is_the_same_on_all_vms(self) -> None:
         """Guards against one probe of each VM."""
         other = PartEvidence()
--- a/tests/test_quarantine_proofs.py
+++ b/tests/test_quarantine_proofs.py
@@ -18,7 +18,12 @@
     proven_by_event,
     proven_by_whole_answer,
 )
-from fuchsiafork.quarantine.answered import AnsweredParts
+from fuchsiafork.quarantine.answered import (
+    FEW_ENDS,
+    REFUTE_FEW_S,
+    REFUTE_S,
+    AnsweredParts,
+)
 from fuchsiafork.quarantine.collection import EndCollection
 from fuchsiafork.quarantine.evidence import QUARANTINE_ENDS
 from fuchsiafork.quarantine.settling import SETTLE_S
@@ -162,15 +167,32 @@
 class TestAnsweredParts(unittest.TestCase):
     """Parts that were answered lately."""
 
-    def test_age_from_which_on_an_answer_counts_no_more(self) -> None:
+    def setUp(self) -> None:
+        """Record an answer."""
+        self.answered = AnsweredParts()
+        self.answered.record(PART, 10.0, proven_by_whole_answer(7))
+
+    def test_many_targets_may_end_at_once(self) -> None:
+        """Guards against refusing what all prompts share after a power loss."""
+        for number in range(30):
+            self.assertEqual(
+                self.answered.proof_against(PART, f't-{number}', 11.0),
+                proven_by_whole_answer(7),
+            )
+
+    def test_later_ends_count_but_for_a_few(self) -> None:
         """Guards against a part that became fatal after a release."""
-        answered = AnsweredParts()
-        answered.record(PART, 10.0, proven_by_whole_answer(7))
-        self.assertEqual(
-            answered.proof(PART, 11.9, 2.0), proven_by_whole_answer(7)
-        )
-        self.assertIsNone(answered.proof(PART, 12.0, 2.0))
-        self.assertTrue(answered.has(PART, 12.0))
+        now = 10.0 + REFUTE_S
+        refuted = [
+            self.answered.proof_against(PART, f't-{number}', now) is not None
+            for number in range(FEW_ENDS + 2)
+        ]
+        self.assertEqual(refuted, [True, True, False, False])
+        # Other VMs report the same end.
+        self.assertIsNotNone(self.answered.proof_against(PART, 't-0', now))
+        late = self.answered.proof_against(PART, 't-99', 10.0 + REFUTE_FEW_S)
+        self.assertIsNone(late)
+        self.assertTrue(self.answered.has(PART, now))
 
 
 class TestPendingAcquittals(unittest.TestCase):
