Wake the quarantine only when an answer may acquit a part

While any part was suspected, and a part that nobody asks for again stays so for ten minutes, the loop that draws conclusions woke up ten times a second, and each event of each stream looked at its parts. It now wakes once when an answer on a suspected part has settled, and events of other parts cost one comparison.

--- a/fuchsiafork/gateway/part_conclusions.py
+++ b/fuchsiafork/gateway/part_conclusions.py
@@ -31,11 +31,10 @@
 from fuchsiafork.quarantine.evidence import QUARANTINE_ENDS, UNWRITTEN
 from fuchsiafork.quarantine.identity import REQUEST_MARK
 from fuchsiafork.quarantine.notices import MAX_PARTS
+from fuchsiafork.quarantine.settling import SETTLE_S
 
 # Longest time between two looks at the reports that are due.
 IDLE_INTERVAL_S = 10.0
-# Interval at which answers are looked at that may acquit a part.
-SETTLE_INTERVAL_S = 0.1
 # Ends from which on a part is acquitted after this share of the usual delay.
 URGENT_ENDS = QUARANTINE_ENDS - 1
 URGENT_SHARE = 0.15
@@ -72,6 +71,8 @@
         self._answered_requests = AnsweredParts()
         self._acquittals = PendingAcquittals()
         self._scheduled = asyncio.Event()
+        # Time at which answers may acquit a part, None if there are none.
+        self._settle_at: float | None = None
 
     def open(self) -> None:
         """Check targets that may have ended, as it does at first."""
@@ -84,6 +85,8 @@
     async def report_due(self) -> None:
         """Wait for a while, and report what is due by then."""
         await self._wait_for_work()
+        if self._settle_at is not None and self._clock.now() >= self._settle_at:
+            self._settle_at = None
         self._settle()
         self._queue_acquittals()
 
@@ -101,7 +104,7 @@
 
     def record_event(self, answer: ObservedAnswer) -> None:
         """Record that a target has written an event: it has lived so far."""
-        if self._suspicious:
+        if self._may_acquit(answer.parts):
             harmless = proven_by_event(answer.progress)
             for part in answer.parts:
                 self.acquit(part, harmless)
@@ -116,8 +119,7 @@
         )
         self._settle()
         self._settling.add(complete, now)
-        if len(self._settling) == 1:
-            self._look_at_settling()
+        self._await_settling(parts)
 
     def record_broken(self, answer: ObservedAnswer) -> None:
         """Record that a connection ended within an answer."""
@@ -177,7 +179,8 @@
             progress,
         )
         self.log_quarantined(added)
-        self._look_at_settling()
+        if self._settling:
+            self._await_settling(notice.parts)
         for part in notice.parts:
             harmless = self._proof_against(part, notice.lifetime)
             if harmless is not None:
@@ -209,10 +212,11 @@
                 'part_quarantined', part=part, ends=self._evidence.ends(part)
             )
 
-    @property
-    def _suspicious(self) -> bool:
-        """Whether an answer may acquit any part."""
-        return bool(self._evidence.suspected or self._ends)
+    def _may_acquit(self, parts: tuple[str, ...]) -> bool:
+        """Return whether an answer on some parts may acquit one."""
+        return bool(self._ends) or not self._evidence.suspected.isdisjoint(
+            parts
+        )
 
     def _answered(self, part: str) -> AnsweredParts:
         """Return the memory of answers on parts of its kind."""
@@ -244,9 +248,10 @@
                 self._answered(part).record(part, ended_at, harmless)
                 self.acquit(part, harmless)
 
-    def _look_at_settling(self) -> None:
-        """Look at answers more often from now on if they may acquit a part."""
-        if self._settling and self._suspicious:
+    def _await_settling(self, parts: tuple[str, ...]) -> None:
+        """Look at the answers once they may acquit one of some parts."""
+        if self._settle_at is None and self._may_acquit(parts):
+            self._settle_at = self._clock.now() + SETTLE_S
             self._scheduled.set()
 
     def _suspect_settling(self, target: Target) -> None:
@@ -309,12 +314,13 @@
 
     async def _wait_for_work(self) -> None:
         """Wait until an acquittal is due or evidence may expire."""
-        due_at = self._acquittals.next_due_at
-        limit_s = IDLE_INTERVAL_S
-        if self._settling and self._suspicious:
-            limit_s = SETTLE_INTERVAL_S
-        if due_at is not None:
-            limit_s = min(limit_s, max(0.0, due_at - self._clock.now()))
+        now = self._clock.now()
+        times = (
+            now + IDLE_INTERVAL_S,
+            self._acquittals.next_due_at,
+            self._settle_at,
+        )
+        limit_s = max(0.0, min(at for at in times if at is not None) - now)
         try:
             async with asyncio.timeout(limit_s):
                 await self._scheduled.wait()
