--- a/fuchsiafork/quarantine/answered.py
+++ b/fuchsiafork/quarantine/answered.py
@@ -11,11 +11,11 @@
 MAX_ANSWERED = 4096
 # An answer refutes all ends that are heard of in this time: many targets may
 # end at once.
-REFUTE_S = 2.5
+REFUTE_S = 1.5
 # It refutes this many of the ones heard of until later, so that a part which
 # has become fatal since is suspected.
 REFUTE_FEW_S = 10.0
-FEW_ENDS = 2
+FEW_ENDS = 1
 
 
 @dataclasses.dataclass(slots=True)
