Leave probes to VMs that are asked for the part alone

A VM that had a request with the part alone in the last 5 s now leaves the probe to such requests; where none comes, as after the end of all targets, the others are probes 2.5 s after the quarantine began.

--- a/fuchsiafork/gateway/quarantine_probes.py
+++ b/fuchsiafork/gateway/quarantine_probes.py
@@ -75,7 +75,7 @@
 
     def give_back(self, probe: Probe) -> None:
         """Keep a probe that reached no target for the next prompt here."""
-        if self._evidence.return_probe(probe):
+        if self._evidence.return_probe(probe, self._clock.now()):
             self._unspent.add(probe)
             self._log.info(
                 'probe_unspent', part=probe.part, number=probe.number
--- a/fuchsiafork/quarantine/evidence.py
+++ b/fuchsiafork/quarantine/evidence.py
@@ -1,7 +1,6 @@
 """Targets that ended under each part of requests, as one VM knows them."""
 
 import dataclasses
-import math
 from collections.abc import Iterable, Mapping
 from collections.abc import Set as AbstractSet
 
@@ -226,6 +225,8 @@
         suspect = self._suspects.get(part)
         if suspect is None or not suspect.series:
             return None
+        if not joint:
+            suspect.asked_alone_at = now
         if suspect.exhausted or now < suspect.next_probe_at:
             return None
         if joint and not suspect.may_be_probed_jointly(now):
@@ -259,7 +260,7 @@
         suspect.probed_lifetime = lifetime
         suspect.probed_jointly = joint
 
-    def return_probe(self, probe: Probe) -> bool:
+    def return_probe(self, probe: Probe, now: float) -> bool:
         """
         Let this VM send a probe again, since it reached no target.
 
@@ -272,7 +273,7 @@
         ):
             return False
         suspect.probes = probe.number - 1
-        suspect.next_probe_at = -math.inf
+        suspect.next_probe_at = now
         suspect.probed_lifetime = ''
         return True
 
--- a/fuchsiafork/quarantine/suspect.py
+++ b/fuchsiafork/quarantine/suspect.py
@@ -12,6 +12,8 @@
 MAX_PROBES = 6
 # Time for which a probe is left to requests without another part in quarantine.
 JOINT_PROBE_DELAY_S = 2.5
+# The same after the last request of this kind.
+ALONE_S = 5.0
 # Probes after which only such requests are sent.
 MAX_JOINT_PROBES = 3
 # Revision of what this VM has seen, until it is in the store.
@@ -49,6 +51,8 @@
     :ivar probed_lifetime: start of the target that got the last probe.
     :ivar probed_jointly: whether that request held another part in quarantine.
     :ivar quarantined_at: time at which the quarantine began, seconds.
+    :ivar asked_alone_at: time of the last request that holds no other part in
+        quarantine, seconds.
     """
 
     news_at: float
@@ -63,6 +67,7 @@
     probed_lifetime: str = ''
     probed_jointly: bool = False
     quarantined_at: float = math.inf
+    asked_alone_at: float = -math.inf
 
     @property
     def quarantined(self) -> bool:
@@ -85,8 +90,11 @@
         If its target ends, nobody knows under which part, so that requests
         with this part alone go first, and fewer follow than of these.
         """
-        due_at = max(self.quarantined_at, self.next_probe_at)
-        waited = now >= due_at + JOINT_PROBE_DELAY_S
+        waited = now >= max(
+            self.quarantined_at + JOINT_PROBE_DELAY_S,
+            self.next_probe_at,
+            self.asked_alone_at + ALONE_S,
+        )
         return waited and self.probes < MAX_JOINT_PROBES
 
     def note_quarantine(self, now: float) -> None:
@@ -151,6 +159,7 @@
 
 
 __all__ = (
+    'ALONE_S',
     'JOINT_PROBE_DELAY_S',
     'MAX_JOINT_PROBES',
     'MAX_PROBES',
